--- /dev/null
+++ b/include/banyanring/adapters/backend_caller.h
@@ -0,0 +1,59 @@
+/** @file backend_caller.h The HTTP client towards backend servers and, for forwards, peers. */
+#pragma once
+
+#include "banyanring/adapters/caller_listener.h"
+
+#include <cpprest/http_client.h>
+#include <mutex>
+#include <unordered_map>
+
+namespace banyanring {
+
+/** Runs dispatches and forwards. Nothing waits: each step is a task of the HTTP library. */
+class BackendCaller
+{
+public:
+    /**
+     * @param callers The open calls.
+     * @param inbox Gets the events.
+     */
+    BackendCaller(CallerListener &callers, Inbox &inbox);
+
+    /** @param action Sends a request to a backend server. */
+    auto dispatch(const Dispatch &action) -> void;
+
+    /** @param action Passes a request to a peer and its answer back. */
+    auto forward(const Forward &action) -> void;
+
+    /** @param id Breaks a dispatch off. */
+    auto cancel(DispatchId id) -> void;
+
+private:
+    /** A dispatch under way. */
+    struct Flight
+    {
+        Dispatch action;
+        pplx::cancellation_token_source cancelSource;
+        std::string kept; ///< Whole answer so far, if the core needs it.
+        std::string contentType;
+        int status = 0;
+        std::uint32_t chunks = 0;
+        bool toCaller = false;
+        std::vector<std::uint8_t> buffer;
+    };
+    using FlightPtr = std::shared_ptr<Flight>;
+
+    auto answered(const FlightPtr &flight, const web::http::http_response &response) -> void;
+    auto readMore(const FlightPtr &flight, const web::http::http_response &response) -> void;
+    auto take(const FlightPtr &flight, std::size_t count) -> void;
+    auto finish(const FlightPtr &flight) -> void;
+    auto fail(const FlightPtr &flight, std::exception_ptr error) -> void;
+    auto forget(DispatchId id) -> void;
+
+    CallerListener &callers;
+    Inbox &inbox;
+    std::mutex mutex;
+    std::unordered_map<DispatchId, FlightPtr> flights;
+};
+
+} // namespace banyanring
--- /dev/null
+++ b/include/banyanring/core/membership_base.h
@@ -0,0 +1,197 @@
+/** @file membership_base.h Gossip with ages, and the rule that says which rights a node may use. */
+#pragma once
+
+#include "banyanring/core/config_type.h"
+#include "banyanring/core/message_type.h"
+#include "banyanring/core/node_settings_type.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <unordered_map>
+
+namespace banyanring {
+
+/**
+ * Knows the published VM lists and what was heard of the other nodes.
+ *
+ * A peer's statement is dated by the instant at which this node issued the pull that brought it,
+ * less the ages added up over the hops. Both err towards "older", so that a message delayed by the
+ * network or by a paused process never counts as fresh, and no clocks are compared.
+ */
+class Membership
+{
+public:
+    /** What is known of a peer. */
+    struct Peer
+    {
+        Heartbeat heartbeat;
+        Instant heardAt{}; ///< Latest instant at which it certainly had not yet stated this.
+        bool heard = false; ///< False while only pulls, whose age is unbounded, told of it.
+    };
+
+    /**
+     * @param nodeSettings Tunable values; must outlive this object.
+     * @param self This node.
+     * @param incarnation This life of the process.
+     * @param now Start of the process.
+     */
+    Membership(const NodeSettings &nodeSettings, NodeId self, Incarnation incarnation, Instant now);
+
+    /**
+     * Takes a VM list unless it is older than the known one.
+     * @param list The list.
+     * @param now The present.
+     * @return Whether it was taken.
+     */
+    auto takeList(const VmListPtr &list, Instant now) -> bool;
+
+    /**
+     * Chooses the next peer to pull from and notes the pull.
+     * @param random Source of chance.
+     * @param now The present.
+     * @return Peer and message, or nothing without peers.
+     */
+    auto startPull(std::mt19937_64 &random, Instant now)
+        -> std::optional<std::pair<NodeId, GossipPull>>;
+
+    /**
+     * Answers a pull with this node's heartbeat and a sample of fresh ones.
+     * @param pull The peer's message.
+     * @param random Source of chance.
+     * @param now The present.
+     * @return The reply.
+     */
+    auto answerPull(const GossipPull &pull, std::mt19937_64 &random, Instant now) -> GossipReply;
+
+    /**
+     * Takes the heartbeats of a reply.
+     * @param reply The peer's message; ignored unless it answers a pull of this incarnation.
+     * @param now The present.
+     */
+    auto takeReply(const GossipReply &reply, Instant now) -> void;
+
+    /**
+     * Gives the newest list revision under which rights may be used now. A right may be used if it
+     * has been this node's under every list since, that one included.
+     * @param now The present.
+     * @return The revision; nothing if no right may be used.
+     */
+    auto anchor(Instant now) const -> std::optional<Revision>;
+
+    /**
+     * Tells until when the present anchor holds if nothing more is heard.
+     * @return The instant.
+     */
+    auto anchorUntil() const -> Instant
+    {
+        return this->bestUntil;
+    }
+
+    /**
+     * Gives the newest list revision whose rights, newly come to this node, may be begun: a
+     * majority stated it a whole lapse time ago.
+     * @param now The present.
+     * @return The revision; 0 for none.
+     */
+    auto settledRevision(Instant now) const -> Revision;
+
+    /**
+     * Tells whether a peer was heard within the lapse time.
+     * @param node The peer.
+     * @param now The present.
+     * @return Whether it is in contact.
+     */
+    auto inContact(NodeId node, Instant now) const -> bool;
+
+    /**
+     * Lists the peers in contact.
+     * @param now The present.
+     * @return Their states.
+     */
+    auto contacts(Instant now) const -> std::vector<const Peer *>;
+
+    /**
+     * Tells whether this incarnation is older than the lapse time and has heard a majority.
+     * @param now The present.
+     * @return Whether its statements count.
+     */
+    auto statementsCount(Instant now) const -> bool;
+
+    /**
+     * Builds this node's own heartbeat.
+     * @param now The present.
+     * @return The heartbeat.
+     */
+    auto ownHeartbeat(Instant now) -> Heartbeat;
+
+    /**
+     * Finds a newer configuration among the peers.
+     * @return Its revision and a peer that has it; nothing if none is newer.
+     */
+    auto newerConfig() const -> std::optional<std::pair<Revision, NodeId>>;
+
+    /**
+     * Finds a newer VM list among the peers.
+     * @return Its revision and a peer that has it; nothing if none is newer.
+     */
+    auto newerList() const -> std::optional<std::pair<Revision, NodeId>>;
+
+    /** @return The newest list, or null. */
+    auto list() const -> const VmListPtr &
+    {
+        return this->current;
+    }
+    /** @return Sorted nodes of the newest list that are not leaving. */
+    auto liveNodes() const -> const std::vector<NodeId> &;
+    /** @return Whether a revision was missed between the last two lists. */
+    auto lastListHadGap() const -> bool
+    {
+        return this->gap;
+    }
+    /** @return All that is known of the peers. */
+    auto peers() const -> const std::unordered_map<NodeId, Peer> &
+    {
+        return this->known;
+    }
+
+    Revision configRevision = 0; ///< Configuration in force here, for the heartbeat.
+    bool leaving = false; ///< This node is stopping, for the heartbeat.
+    std::vector<ServicePressure> pressures; ///< For the heartbeat.
+
+private:
+    /** A list that is or was the newest. */
+    struct Epoch
+    {
+        Revision revision = 0;
+        std::vector<NodeId> nodes; ///< Sorted, live.
+        Instant takenAt{};
+        Instant heldUntil{}; ///< Majority condition holds until then.
+        std::optional<Instant> firstHeld; ///< When the majority condition first held.
+        bool chained = true; ///< No revision was missed between it and the current list.
+    };
+
+    auto take(const Heartbeat &heartbeat, std::optional<Instant> statedAfter) -> void;
+    auto recompute(Instant now) -> void;
+    auto majorityUntil(const Epoch &epoch, const std::vector<NodeId> &voters, Instant now) const
+        -> Instant;
+    auto meets(const Epoch &older, const Epoch &newer) const -> bool;
+
+    const NodeSettings &settings;
+    NodeId self;
+    Incarnation incarnation;
+    Instant startedAt;
+    std::uint64_t sequence = 0;
+    std::uint64_t nextToken = 1;
+    bool gap = false;
+    VmListPtr current;
+    std::deque<Epoch> epochs; ///< Oldest first; the last one is current; revisions adjoin.
+    std::unordered_map<NodeId, Peer> known;
+    std::map<std::uint64_t, Instant> pulls; ///< Open pulls by token.
+    std::vector<NodeId> pullOrder; ///< Peers still to pull from in this round.
+    Revision bestRevision = 0;
+    Instant bestUntil{};
+};
+
+} // namespace banyanring
--- /dev/null
+++ b/include/banyanring/core/message_type.h
@@ -0,0 +1,149 @@
+/** @file message_type.h Messages between nodes. Each is idempotent and may be lost or repeated. */
+#pragma once
+
+#include "banyanring/core/ids_type.h"
+
+#include <variant>
+#include <vector>
+
+namespace banyanring {
+
+/** How one node stands for one service; sent only when it differs from the default. */
+struct ServicePressure
+{
+    ServiceId service = 0;
+    Tier wishedFloor = TierCount; ///< Tiers at or above this number should be shed everywhere.
+    Tier enforcedFloor = TierCount; ///< Tiers at or above this number are shed at the node.
+    bool busy = false; ///< The node has no free slot of the service.
+};
+
+/** A server that has to be treated as cold, told by the node that saw the first sign. */
+struct ColdNotice
+{
+    ServerId server = 0;
+    std::uint64_t startedAt = 0; ///< Start time the server reported; orders its starts.
+    bool cold = true; ///< False once it is warm again.
+};
+
+/** What a node states of itself, passed on by others. */
+struct Heartbeat
+{
+    NodeId node = 0;
+    Incarnation incarnation = 0;
+    std::uint64_t sequence = 0; ///< Grows within an incarnation.
+    Revision configRevision = 0; ///< Newest configuration in force there.
+    Revision listRevision = 0; ///< Newest VM list there; 0 while it states nothing.
+    Duration age{}; ///< Age at the sending of the message.
+    bool leaving = false; ///< The node is stopping.
+    std::vector<ServicePressure> pressures; ///< Only services that differ from the default.
+};
+
+/** A backend server died while it ran a request with this fingerprint. */
+struct CrashNotice
+{
+    std::uint64_t notice = 0; ///< Chosen by the sender, given back in the acknowledgement.
+    std::uint64_t fingerprint = 0; ///< Hash of organisation, path and body.
+    ServerId server = 0;
+    std::uint64_t startedAt = 0; ///< Start time of the server that died.
+};
+
+/** Asks a peer for heartbeats; carries the asker's own. */
+struct GossipPull
+{
+    std::uint64_t token = 0; ///< Given back in the reply, which bounds the reply's age.
+    Heartbeat self;
+};
+
+/** Answers a GossipPull. */
+struct GossipReply
+{
+    std::uint64_t token = 0;
+    std::vector<Heartbeat> heartbeats;
+    std::vector<CrashNotice> crashNotices; ///< All known ones, if the asker is young.
+};
+
+/** Names one slot of a backend server. */
+struct SlotRef
+{
+    ServerId server = 0;
+    std::uint16_t index = 0;
+    auto operator<=>(const SlotRef &) const = default;
+};
+
+/** A slot that its holder still counts as another node's. */
+struct CountedSlot
+{
+    SlotRef slot;
+    std::uint64_t loan = 0; ///< Loan under which the other node has it; 0 for an earlier holder.
+};
+
+/** A natural holder asks another node which slots are free of that node's requests. */
+struct SlotQuery
+{
+    std::uint64_t token = 0; ///< Given back in the reply.
+    Revision listRevision = 0; ///< The asked node must know this list or a newer one.
+    std::vector<CountedSlot> slots;
+};
+
+/** Answers a SlotQuery; slots that are not named are still in use or not known. */
+struct SlotQueryReply
+{
+    std::uint64_t token = 0;
+    Revision listRevision = 0;
+    std::vector<SlotRef> released;
+};
+
+/** Asks for a loan of free slots. */
+struct SlotLoanAsk
+{
+    std::uint64_t loan = 0; ///< Chosen by the borrower; a repeat is answered alike.
+    ServiceId service = 0;
+    std::uint16_t count = 0; ///< Most slots wanted.
+    Tier tier = 0; ///< Most urgent tier that waits at the borrower.
+};
+
+/** Answers a SlotLoanAsk; no slots is a refusal. */
+struct SlotLoan
+{
+    std::uint64_t loan = 0;
+    ServiceId service = 0;
+    Duration length{}; ///< Dispatches may start this long after the ask was sent.
+    std::vector<SlotRef> slots;
+};
+
+/** Gives lent slots back, none of which the borrower uses or will use under that loan. */
+struct SlotReturn
+{
+    std::uint64_t loan = 0;
+    std::vector<SlotRef> slots;
+};
+
+/** Asks for a loan of tokens. */
+struct TokenLoanAsk
+{
+    std::uint64_t loan = 0; ///< Chosen by the borrower; a repeat is answered alike.
+    OrganisationId organisation = 0;
+    double amount = 0; ///< Tokens that the request needs.
+};
+
+/** Answers a TokenLoanAsk; an amount of zero is a refusal. */
+struct TokenLoan
+{
+    std::uint64_t loan = 0;
+    OrganisationId organisation = 0;
+    double amount = 0;
+    Duration length{}; ///< May be spent this long after the ask was sent.
+};
+
+/** Acknowledges a CrashNotice. */
+struct CrashNoticeAck
+{
+    std::uint64_t notice = 0;
+};
+
+using PeerMessage =
+    std::variant<GossipPull, GossipReply, SlotQuery, SlotQueryReply, SlotLoanAsk, SlotLoan,
+                 SlotReturn, TokenLoanAsk, TokenLoan, CrashNotice, CrashNoticeAck,
+                 ColdNotice>; ///< All messages; the index is the wire number.
+
+} // namespace banyanring
--- /dev/null
+++ b/include/banyanring/core/node_settings_type.h
@@ -0,0 +1,34 @@
+/** @file node_settings_type.h Tunable values of the decision core; the settings table fills them.
+ */
+#pragma once
+
+#include "banyanring/core/ids_type.h"
+
+namespace banyanring {
+
+/** Tunable values of the decision core. */
+struct NodeSettings
+{
+    Duration lapse = std::chrono::seconds(4); ///< A peer unheard this long is out of contact.
+    Duration pullInterval = std::chrono::milliseconds(250); ///< Time between two gossip pulls.
+    std::uint32_t gossipEntries = 60; ///< Most heartbeats in a gossip reply.
+    Duration tokenLoan = std::chrono::seconds(5); ///< Length of a token loan.
+    Duration slotLoan = std::chrono::seconds(5); ///< Length of a slot loan.
+    Duration gatherLimit = std::chrono::milliseconds(600); ///< Longest wait for token loans.
+    double partRate = 10000; ///< Tokens a second that one part carries.
+    double minPartBurst = 4000; ///< Least burst of a part, in tokens.
+    std::uint32_t minParts = 3; ///< Parts of an organisation, if its burst allows.
+    std::uint32_t waitRoom = 256; ///< Requests that may wait for one service.
+    Duration ticketValid = std::chrono::seconds(30); ///< Life of an unused ticket.
+    Duration answerKeep = std::chrono::seconds(120); ///< How long a ticket's answer is kept.
+    std::uint64_t answerBytes = 64ULL << 20U; ///< Most bytes of kept answers.
+    std::uint32_t ticketCount = 100000; ///< Most used tickets remembered.
+    Duration addressKeep = std::chrono::seconds(5); ///< How long callers keep an address answer.
+    Duration drainGrace = std::chrono::seconds(6); ///< Time a stopping node still takes requests.
+    Duration suspectKeep = std::chrono::minutes(10); ///< How long a crash suspect is remembered.
+    Duration crashAckLimit = std::chrono::seconds(2); ///< Longest wait for crash acknowledgements.
+    std::uint32_t decisionCount = 20000; ///< Decisions remembered for explanations.
+    double longShare = 0.7; ///< Share of slots that long requests may take.
+};
+
+} // namespace banyanring
--- /dev/null
+++ b/include/banyanring/core/server_health_base.h
@@ -0,0 +1,96 @@
+/** @file server_health_base.h What is known of each backend server: cold start, speed,
+ * reachability. */
+#pragma once
+
+#include "banyanring/core/config_type.h"
+#include "banyanring/core/message_type.h"
+
+#include <optional>
+#include <unordered_map>
+
+namespace banyanring {
+
+/** Keeps the state of backend servers. A server of which nothing is known counts as cold. */
+class ServerHealth
+{
+public:
+    /** State of one backend server. */
+    struct State
+    {
+        std::uint64_t startedAt = 0; ///< Newest start time known; 0 for none.
+        bool known = false; ///< A report or notice told of this start.
+        bool cold = true; ///< In cold start.
+        bool reachable = true; ///< The last report or dispatch reached it.
+        bool suspected = false; ///< Showed a sign of a restart that no report explained yet.
+        Instant suspectedAt{};
+        Instant warmSince{}; ///< When it turned warm here.
+        Instant changedAt{}; ///< When a report last changed this state.
+        double tokensPerSecond = 0; ///< Moving average per request; 0 for unknown.
+        std::uint32_t running = 0; ///< Requests running there by the last report.
+    };
+
+    /**
+     * Takes a load report. One that was sampled before a suspicion does not end it.
+     * @param server The backend server.
+     * @param startedAt Start time that it reports; 0 if it could not be reached.
+     * @param cold Whether it says that it is in cold start.
+     * @param running Requests running there.
+     * @param sampledAt Latest instant at which the report was surely not yet older.
+     * @param now The present.
+     * @return Whether peers should be told.
+     */
+    auto takeReport(ServerId server, std::uint64_t startedAt, bool cold, std::uint32_t running,
+                    Instant sampledAt, Instant now) -> bool;
+
+    /**
+     * Takes a peer's notice unless something newer is known.
+     * @param notice The notice.
+     * @param now The present.
+     */
+    auto takeNotice(const ColdNotice &notice, Instant now) -> void;
+
+    /**
+     * Notes a sign that a server restarted or died: a reset or refused connection.
+     * @param server The backend server.
+     * @param now The present.
+     */
+    auto suspect(ServerId server, Instant now) -> void;
+
+    /**
+     * Learns from an answer.
+     * @param server The backend server.
+     * @param tokens Tokens that the request took; 0 for unknown.
+     * @param took Time that it took.
+     */
+    auto learn(ServerId server, std::uint32_t tokens, Duration took) -> void;
+
+    /**
+     * Gives the number of slots that may be used: those with a lower index.
+     * @param server The backend server.
+     * @param now The present.
+     * @return The bound: none if it is unreachable, the cold slots in cold start, doubled each
+     *         second once warm.
+     */
+    auto slotLimit(const BackendServer &server, Instant now) const -> std::uint16_t;
+
+    /**
+     * Gives the state of a server.
+     * @param server The backend server.
+     * @return Its state; the default one if nothing is known.
+     */
+    auto state(ServerId server) const -> State;
+
+    /** @return All states. */
+    auto all() const -> const std::unordered_map<ServerId, State> &
+    {
+        return this->states;
+    }
+
+    /** @param config Servers that are not in it are forgotten. */
+    auto takeConfig(const Config &config) -> void;
+
+private:
+    std::unordered_map<ServerId, State> states;
+};
+
+} // namespace banyanring
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Installs, builds and runs all tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/setup.sh
+exec ctest --test-dir build --output-on-failure
--- /dev/null
+++ b/src/adapters/config_codec.cpp
@@ -0,0 +1,358 @@
+/** @file config_codec.cpp The published values as JSON: parsing and validation. */
+#include "banyanring/adapters/config_codec.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+#include <openssl/sha.h>
+#include <set>
+
+namespace banyanring {
+
+namespace {
+
+using nlohmann::json;
+
+/** @return All faults in one text. */
+auto joined(const std::vector<std::string> &faults) -> std::string
+{
+    std::string text;
+    for (const auto &fault : faults) {
+        text += (text.empty() ? "" : "; ") + fault;
+    }
+    return text;
+}
+
+/** Reads typed fields of one object and collects the faults. */
+class Reader
+{
+public:
+    /**
+     * @param value The object.
+     * @param place Where it stands, for messages.
+     * @param faults Where faults are added.
+     */
+    Reader(const json &value, std::string place, std::vector<std::string> &faults)
+        : value(value), place(std::move(place)), faults(faults)
+    {
+    }
+
+    /** @return The text @p name, or a fault. */
+    auto text(const char *name) -> std::string
+    {
+        const auto *field = this->field(name);
+        if (field == nullptr || !field->is_string() || field->get<std::string>().empty()) {
+            this->fault(std::string(name) + " must be a text that is not empty");
+            return {};
+        }
+        return field->get<std::string>();
+    }
+
+    /** @return The number @p name within its range, its default, or a fault. */
+    auto number(const char *name, double least, double most, std::optional<double> preset = {})
+        -> double
+    {
+        const auto *field = this->field(name);
+        if (field == nullptr && preset) {
+            return *preset;
+        }
+        if (field == nullptr || !field->is_number() || field->get<double>() < least
+            || field->get<double>() > most) {
+            this->fault(std::string(name) + " must be a number from " + json(least).dump() + " to "
+                        + json(most).dump());
+            return least;
+        }
+        return field->get<double>();
+    }
+
+    /** @return The truth value @p name, false if it is not there, or a fault. */
+    auto flag(const char *name) -> bool
+    {
+        const auto *field = this->field(name);
+        if (field != nullptr && !field->is_boolean()) {
+            this->fault(std::string(name) + " must be true or false");
+        }
+        return field != nullptr && field->is_boolean() && field->get<bool>();
+    }
+
+    /** Adds a fault. */
+    auto fault(const std::string &what) -> void
+    {
+        this->faults.push_back(this->place + ": " + what);
+    }
+
+    /** Adds a fault for each field that was not read. */
+    auto finish() -> void
+    {
+        for (const auto &[name, field] : this->value.items()) {
+            if (!this->seen.contains(name)) {
+                this->fault("unknown field " + name);
+            }
+        }
+    }
+
+private:
+    auto field(const char *name) -> const json *
+    {
+        this->seen.insert(name);
+        const auto found = this->value.find(name);
+        return found == this->value.end() ? nullptr : &*found;
+    }
+
+    const json &value;
+    std::string place;
+    std::vector<std::string> &faults;
+    std::set<std::string> seen;
+};
+
+/** Builds a configuration from its shards and collects every fault. */
+class Builder
+{
+public:
+    explicit Builder(Revision revision)
+    {
+        this->config->revision = revision;
+    }
+
+    auto addShard(const std::string &name, const std::string &text) -> void
+    {
+        json value;
+        try {
+            value = json::parse(text);
+        } catch (const json::exception &error) {
+            this->faults.push_back(name + ": " + error.what());
+            return;
+        }
+        if (!value.is_object()) {
+            this->faults.push_back(name + ": must be an object of sections");
+            return;
+        }
+        for (const auto &[section, entries] : value.items()) {
+            if (!entries.is_array()) {
+                this->faults.push_back(name + "." + section + ": must be a list");
+                continue;
+            }
+            for (std::size_t index = 0; index < entries.size(); ++index) {
+                const auto place = name + "." + section + "[" + std::to_string(index) + "]";
+                this->addEntry(section, entries[index], place);
+            }
+        }
+    }
+
+    auto finish() -> ConfigPtr
+    {
+        this->checkReferences();
+        if (!this->faults.empty()) {
+            throw ConfigError(std::move(this->faults));
+        }
+        return this->config;
+    }
+
+private:
+    auto addEntry(const std::string &section, const json &entry, const std::string &place) -> void
+    {
+        if (section == "domains_out") {
+            if (!entry.is_string()) {
+                this->faults.push_back(place + ": must be a failure domain's name");
+                return;
+            }
+            const auto name = entry.get<std::string>();
+            this->config->domainsOut.push_back(nameId(name));
+            this->outNames.emplace_back(place, name);
+            return;
+        }
+        if (!entry.is_object()) {
+            this->faults.push_back(place + ": must be an object");
+            return;
+        }
+        Reader reader(entry, place, this->faults);
+        if (section == "services") {
+            this->addService(reader);
+        } else if (section == "routes") {
+            this->addRoute(reader);
+        } else if (section == "organisations") {
+            this->addOrganisation(reader);
+        } else if (section == "keys") {
+            this->addKey(reader);
+        } else if (section == "servers") {
+            this->addServer(reader);
+        } else {
+            reader.fault("unknown section");
+            return;
+        }
+        reader.finish();
+    }
+
+    auto claim(Reader &reader, const std::string &kind, const std::string &name) -> std::uint32_t
+    {
+        const auto id = nameId(name);
+        const auto [owner, fresh] = this->names[kind].emplace(id, name);
+        if (!fresh) {
+            reader.fault(owner->second == name ? kind + " " + name + " is there twice"
+                                               : kind + " " + name + " and " + owner->second
+                                                     + " have the same hash; rename one");
+        }
+        return id;
+    }
+
+    auto addService(Reader &reader) -> void
+    {
+        Service service;
+        service.name = reader.text("name");
+        service.id = this->claim(reader, "service", service.name);
+        const auto kind = reader.text("kind");
+        if (kind != "engine" && kind != "plain") {
+            reader.fault("kind must be engine or plain");
+        }
+        service.kind = kind == "engine" ? BackendKind::Engine : BackendKind::Plain;
+        service.longestRun =
+            std::chrono::milliseconds(std::int64_t(reader.number("longest_run_ms", 10, 3600e3)));
+        service.longTokens = std::uint32_t(reader.number("long_tokens", 1, 1e9, 1e9));
+        this->config->services[service.id] = service;
+    }
+
+    auto addRoute(Reader &reader) -> void
+    {
+        Route route;
+        route.path = reader.text("path");
+        if (!route.path.starts_with('/') || route.path.starts_with("/v1/")) {
+            reader.fault("path must begin with / and not with /v1/");
+        }
+        this->claim(reader, "route", route.path);
+        const auto service = reader.text("service");
+        route.service = nameId(service);
+        this->wanted.emplace_back("route " + route.path, "service", service);
+        route.tier = Tier(reader.number("tier", 0, TierCount - 1));
+        route.idempotent = reader.flag("idempotent");
+        route.open = reader.flag("open");
+        route.deadline =
+            std::chrono::milliseconds(std::int64_t(reader.number("deadline_ms", 10, 3600e3)));
+        this->config->routes[route.path] = route;
+    }
+
+    auto addOrganisation(Reader &reader) -> void
+    {
+        Organisation organisation;
+        organisation.name = reader.text("name");
+        organisation.id = this->claim(reader, "organisation", organisation.name);
+        organisation.rate = reader.number("rate", 0.001, 1e9);
+        organisation.burst = reader.number("burst", 1, 1e12);
+        organisation.weight = reader.number("weight", 0.01, 1000, 1);
+        this->config->organisations[organisation.id] = organisation;
+    }
+
+    auto addKey(Reader &reader) -> void
+    {
+        const auto digest = reader.text("digest");
+        const bool hex = digest.size() == 2 * SHA256_DIGEST_LENGTH
+                         && digest.find_first_not_of("0123456789abcdef") == std::string::npos;
+        if (!hex) {
+            reader.fault("digest must be 64 lower-case hexadecimal digits");
+        }
+        const auto organisation = reader.text("organisation");
+        this->wanted.emplace_back("key " + digest.substr(0, 8), "organisation", organisation);
+        if (!this->config->keys.emplace(digest, nameId(organisation)).second) {
+            reader.fault("key digest is there twice");
+        }
+    }
+
+    auto addServer(Reader &reader) -> void
+    {
+        BackendServer server;
+        server.name = reader.text("name");
+        server.id = this->claim(reader, "server", server.name);
+        const auto service = reader.text("service");
+        server.service = nameId(service);
+        this->wanted.emplace_back("server " + server.name, "service", service);
+        server.address = reader.text("address");
+        const auto domain = reader.text("domain");
+        server.domain = nameId(domain);
+        this->config->domains[server.domain] = domain;
+        server.slots = std::uint16_t(reader.number("slots", 1, 4096));
+        server.coldSlots = std::uint16_t(reader.number("cold_slots", 1, server.slots));
+        server.leaving = reader.flag("leaving");
+        this->config->servers[server.id] = server;
+    }
+
+    auto checkReferences() -> void
+    {
+        for (const auto &[who, kind, name] : this->wanted) {
+            if (!name.empty() && !this->names[kind].contains(nameId(name))) {
+                this->faults.push_back(who + ": no " + kind + " is named " + name);
+            }
+        }
+        for (const auto &[place, name] : this->outNames) {
+            if (!this->config->domains.contains(nameId(name))) {
+                this->faults.push_back(place + ": no server stands in failure domain " + name);
+            }
+        }
+    }
+
+    std::shared_ptr<Config> config = std::make_shared<Config>();
+    std::vector<std::string> faults;
+    std::map<std::string, std::map<std::uint32_t, std::string>> names;
+    std::vector<std::tuple<std::string, std::string, std::string>> wanted;
+    std::vector<std::pair<std::string, std::string>> outNames;
+};
+
+} // namespace
+
+ConfigError::ConfigError(std::vector<std::string> faultList)
+    : std::runtime_error(joined(faultList)), faults(std::move(faultList))
+{
+}
+
+auto parseConfig(Revision revision, const Shards &shards) -> ConfigPtr
+{
+    Builder builder(revision);
+    for (const auto &[name, text] : shards) {
+        builder.addShard(name, text);
+    }
+    return builder.finish();
+}
+
+auto parseVmList(std::string_view text) -> VmListPtr
+{
+    std::vector<std::string> faults;
+    auto list = std::make_shared<VmList>();
+    try {
+        const auto value = json::parse(text);
+        list->revision = value.at("revision").get<Revision>();
+        for (const auto &entry : value.at("vms")) {
+            Reader reader(entry, "vms", faults);
+            Vm vm;
+            vm.id = NodeId(reader.number("id", 1, 65535));
+            vm.entryAddress = reader.text("entry");
+            vm.peerAddress = reader.text("peer");
+            vm.domain = reader.text("domain");
+            vm.leaving = reader.text("state") == "leaving";
+            const bool twice = std::any_of(list->vms.begin(), list->vms.end(),
+                                           [&](const Vm &other) { return other.id == vm.id; });
+            if (twice) {
+                reader.fault("id " + std::to_string(vm.id) + " is there twice");
+            }
+            list->vms.push_back(vm);
+        }
+    } catch (const json::exception &error) {
+        faults.emplace_back(error.what());
+    }
+    if (!faults.empty()) {
+        throw ConfigError(std::move(faults));
+    }
+    return list;
+}
+
+auto keyDigest(std::string_view key) -> std::string
+{
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+    SHA256(reinterpret_cast<const unsigned char *>(key.data()), key.size(), digest.data());
+    std::string text;
+    constexpr std::string_view Digits = "0123456789abcdef";
+    for (const auto byte : digest) {
+        text += Digits[byte >> 4U];
+        text += Digits[byte & 15U];
+    }
+    return text;
+}
+
+} // namespace banyanring
--- /dev/null
+++ b/src/adapters/peer_codec.cpp
@@ -0,0 +1,251 @@
+/** @file peer_codec.cpp Messages between nodes as msgpack arrays, field by field. */
+#include "banyanring/adapters/peer_codec.h"
+
+#include <msgpack.hpp>
+#include <tuple>
+
+namespace banyanring {
+
+namespace {
+
+constexpr int WireVersion = 1; ///< Grows with each change that older nodes cannot read.
+constexpr std::size_t ValuesAskKind = 100; ///< Wire number beside the core's messages.
+constexpr std::size_t ValuesKind = 101; ///< Wire number beside the core's messages.
+constexpr std::size_t HeaderFields = 4; ///< Version, sender, kind, payload.
+
+/** Gives the fields of a message in wire order; one overload a type. */
+auto fields(auto &m) -> auto requires
+    std::same_as<std::remove_const_t<std::remove_reference_t<decltype(m)>>, ServicePressure>
+{
+    return std::tie(m.service, m.wishedFloor, m.enforcedFloor, m.busy);
+}
+
+template <typename M, typename T>
+concept Is = std::same_as<std::remove_const_t<M>, T>;
+
+template <Is<ColdNotice> M> auto fields(M &m) -> auto
+{
+    return std::tie(m.server, m.startedAt, m.cold);
+}
+template <Is<Heartbeat> M> auto fields(M &m) -> auto
+{
+    return std::tie(m.node, m.incarnation, m.sequence, m.configRevision, m.listRevision, m.age,
+                    m.leaving, m.pressures);
+}
+template <Is<GossipPull> M> auto fields(M &m) -> auto
+{
+    return std::tie(m.token, m.self);
+}
+template <Is<GossipReply> M> auto fields(M &m) -> auto
+{
+    return std::tie(m.token, m.heartbeats, m.crashNotices);
+}
+template <Is<SlotRef> M> auto fields(M &m) -> auto
+{
+    return std::tie(m.server, m.index);
+}
+template <Is<CountedSlot> M> auto fields(M &m) -> auto
+{
+    return std::tie(m.slot, m.loan);
+}
+template <Is<SlotQuery> M> auto fields(M &m) -> auto
+{
+    return std::tie(m.token, m.listRevision, m.slots);
+}
+template <Is<SlotQueryReply> M> auto fields(M &m) -> auto
+{
+    return std::tie(m.token, m.listRevision, m.released);
+}
+template <Is<SlotLoanAsk> M> auto fields(M &m) -> auto
+{
+    return std::tie(m.loan, m.service, m.count, m.tier);
+}
+template <Is<SlotLoan> M> auto fields(M &m) -> auto
+{
+    return std::tie(m.loan, m.service, m.length, m.slots);
+}
+template <Is<SlotReturn> M> auto fields(M &m) -> auto
+{
+    return std::tie(m.loan, m.slots);
+}
+template <Is<TokenLoanAsk> M> auto fields(M &m) -> auto
+{
+    return std::tie(m.loan, m.organisation, m.amount);
+}
+template <Is<TokenLoan> M> auto fields(M &m) -> auto
+{
+    return std::tie(m.loan, m.organisation, m.amount, m.length);
+}
+template <Is<CrashNotice> M> auto fields(M &m) -> auto
+{
+    return std::tie(m.notice, m.fingerprint, m.server, m.startedAt);
+}
+template <Is<CrashNoticeAck> M> auto fields(M &m) -> auto
+{
+    return std::tie(m.notice);
+}
+template <Is<ValuesAsk> M> auto fields(M &) -> auto
+{
+    return std::tuple<>();
+}
+template <Is<Values> M> auto fields(M &m) -> auto
+{
+    return std::tie(m.configRevision, m.shards, m.vmList);
+}
+
+using Packer = msgpack::packer<msgpack::sbuffer>;
+
+/** A type that has a fields() overload. */
+template <typename T>
+concept Message = requires(T &value)
+{
+    fields(value);
+};
+
+template <typename T> auto pack(Packer &packer, const T &value) -> void;
+
+/** Packs a list. */
+template <typename T> auto pack(Packer &packer, const std::vector<T> &list) -> void
+{
+    packer.pack_array(static_cast<std::uint32_t>(list.size()));
+    for (const auto &value : list) {
+        pack(packer, value);
+    }
+}
+
+/** Packs a message as an array of its fields, a duration as microseconds, else as it is. */
+template <typename T> auto pack(Packer &packer, const T &value) -> void
+{
+    if constexpr (std::same_as<T, Duration>) {
+        packer.pack(value.count());
+    } else if constexpr (Message<const T>) {
+        const auto all = fields(value);
+        packer.pack_array(static_cast<std::uint32_t>(std::tuple_size_v<decltype(all)>));
+        std::apply([&](const auto &...field) { (pack(packer, field), ...); }, all);
+    } else {
+        packer.pack(value);
+    }
+}
+
+template <typename T> auto unpack(const msgpack::object &object, T &value) -> void;
+
+/** Checks that an object is an array. */
+auto arrayOf(const msgpack::object &object) -> const msgpack::object_array &
+{
+    if (object.type != msgpack::type::ARRAY) {
+        throw msgpack::type_error();
+    }
+    return object.via.array;
+}
+
+/** Unpacks a list. */
+template <typename T> auto unpack(const msgpack::object &object, std::vector<T> &list) -> void
+{
+    const auto &array = arrayOf(object);
+    list.resize(array.size);
+    for (std::uint32_t index = 0; index < array.size; ++index) {
+        unpack(array.ptr[index], list[index]);
+    }
+}
+
+/** Unpacks what pack() made; throws msgpack::type_error on anything else. */
+template <typename T> auto unpack(const msgpack::object &object, T &value) -> void
+{
+    if constexpr (std::same_as<T, Duration>) {
+        value = Duration(object.as<std::int64_t>());
+    } else if constexpr (Message<T>) {
+        auto all = fields(value);
+        const auto &array = arrayOf(object);
+        if (array.size != std::tuple_size_v<decltype(all)>) {
+            throw msgpack::type_error();
+        }
+        const auto *next = array.ptr;
+        std::apply([&](auto &...field) { (unpack(*next++, field), ...); }, all);
+    } else {
+        object.convert(value);
+    }
+}
+
+/** Unpacks the core's message with wire number @p kind. */
+template <std::size_t Kind = 0>
+auto unpackCore(std::size_t kind, const msgpack::object &payload) -> PeerMessage
+{
+    if constexpr (Kind < std::variant_size_v<PeerMessage>) {
+        if (kind != Kind) {
+            return unpackCore<Kind + 1>(kind, payload);
+        }
+        std::variant_alternative_t<Kind, PeerMessage> message;
+        unpack(payload, message);
+        return message;
+    } else {
+        throw msgpack::type_error();
+    }
+}
+
+/** Unpacks the message with wire number @p kind. */
+auto unpackWire(std::size_t kind, const msgpack::object &payload) -> WireMessage
+{
+    if (kind == ValuesAskKind) {
+        return ValuesAsk{};
+    }
+    if (kind == ValuesKind) {
+        Values values;
+        unpack(payload, values);
+        return values;
+    }
+    return unpackCore(kind, payload);
+}
+
+/** Packs the wire number and the payload. */
+struct WirePacker
+{
+    Packer &packer;
+
+    auto operator()(const PeerMessage &message) const -> void
+    {
+        this->packer.pack(message.index());
+        std::visit([this](const auto &typed) { pack(this->packer, typed); }, message);
+    }
+    auto operator()(const ValuesAsk &message) const -> void
+    {
+        this->packer.pack(ValuesAskKind);
+        pack(this->packer, message);
+    }
+    auto operator()(const Values &message) const -> void
+    {
+        this->packer.pack(ValuesKind);
+        pack(this->packer, message);
+    }
+};
+
+} // namespace
+
+auto encodePeer(const Envelope &envelope) -> std::string
+{
+    msgpack::sbuffer buffer;
+    Packer packer(buffer);
+    packer.pack_array(HeaderFields);
+    packer.pack(WireVersion);
+    packer.pack(envelope.from);
+    std::visit(WirePacker{packer}, envelope.message);
+    return {buffer.data(), buffer.size()};
+}
+
+auto decodePeer(std::string_view bytes) -> std::optional<Envelope>
+{
+    try {
+        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        const auto &array = arrayOf(handle.get());
+        if (array.size != HeaderFields || array.ptr[0].as<int>() != WireVersion) {
+            return std::nullopt;
+        }
+        Envelope envelope;
+        envelope.from = array.ptr[1].as<NodeId>();
+        envelope.message = unpackWire(array.ptr[2].as<std::size_t>(), array.ptr[3]);
+        return envelope;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace banyanring
--- /dev/null
+++ b/src/adapters/state_codec.cpp
@@ -0,0 +1,115 @@
+/** @file state_codec.cpp The state dump and explanations as JSON. */
+#include "banyanring/adapters/state_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace banyanring {
+
+namespace {
+
+using nlohmann::ordered_json;
+
+/** @return A duration in milliseconds. */
+auto milliseconds(Duration time) -> double
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+/** @return States of the backend servers by name. */
+auto serversJson(const NodeSnapshot &snapshot, const ConfigPtr &config) -> ordered_json
+{
+    auto result = ordered_json::object();
+    for (const auto &[id, state] : snapshot.servers) {
+        if (!config || !config->servers.contains(id)) {
+            continue;
+        }
+        result[config->servers.at(id).name] = {{"known", state.known},
+                                               {"cold", state.cold},
+                                               {"reachable", state.reachable},
+                                               {"suspected", state.suspected},
+                                               {"started_at", state.startedAt},
+                                               {"running", state.running},
+                                               {"tokens_per_second", state.tokensPerSecond}};
+    }
+    return result;
+}
+
+/** @return Floors and pressure by service. */
+auto pressuresJson(const NodeSnapshot &snapshot, const ConfigPtr &config) -> ordered_json
+{
+    auto result = ordered_json::object();
+    for (const auto &pressure : snapshot.pressures) {
+        if (config && config->services.contains(pressure.service)) {
+            result[config->services.at(pressure.service).name] = {
+                {"busy", pressure.busy},
+                {"wished_floor", pressure.wishedFloor},
+                {"enforced_floor", pressure.enforcedFloor}};
+        }
+    }
+    return result;
+}
+
+/** @return Refusals by reason. */
+auto refusalsJson(const Counters &counters) -> ordered_json
+{
+    auto result = ordered_json::object();
+    for (std::size_t reason = 1; reason < counters.refused.size(); ++reason) {
+        if (counters.refused.at(reason) > 0) {
+            result[std::string(reasonName(static_cast<Reason>(reason)))] =
+                counters.refused.at(reason);
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+auto stateJson(const NodeSnapshot &snapshot, const ConfigPtr &config,
+               const PlatformReader::Status &platform) -> std::string
+{
+    ordered_json json;
+    json["node"] = snapshot.node;
+    json["incarnation"] = snapshot.incarnation;
+    json["ready"] = snapshot.ready;
+    json["stopping"] = snapshot.stopping;
+    json["config_revision"] = snapshot.configRevision;
+    json["vm_list_revision"] = snapshot.listRevision;
+    json["rights_under_list"] = snapshot.anchor ? ordered_json(*snapshot.anchor) : ordered_json();
+    json["contacts"] = snapshot.contacts;
+    json["open_calls"] = snapshot.calls;
+    json["running"] = snapshot.runs;
+    json["waiting"] = snapshot.waiting;
+    json["tickets"] = snapshot.tickets;
+    json["rate_parts"] = snapshot.heldParts;
+    const auto &slots = snapshot.slots;
+    json["slots"] = {{"free", slots.free},         {"running", slots.running},
+                     {"lent", slots.lent},         {"borrowed", slots.borrowed},
+                     {"awaiting", slots.awaiting}, {"quarantined", slots.quarantined}};
+    json["counters"] = {
+        {"arrived", snapshot.counters.arrived},     {"dispatched", snapshot.counters.dispatched},
+        {"answered", snapshot.counters.answered},   {"failed", snapshot.counters.failed},
+        {"forwarded", snapshot.counters.forwarded}, {"token_asks", snapshot.counters.tokenAsks},
+        {"slot_asks", snapshot.counters.slotAsks},  {"shed_by_tier", snapshot.counters.shedByTier}};
+    json["refused"] = refusalsJson(snapshot.counters);
+    json["pressure"] = pressuresJson(snapshot, config);
+    json["servers"] = serversJson(snapshot, config);
+    json["platform"] = {{"reads", platform.reads},
+                        {"failures", platform.failures},
+                        {"refused_revision", platform.refusedRevision},
+                        {"faults", platform.faults}};
+    return json.dump(2, ' ', false, ordered_json::error_handler_t::replace) + "\n";
+}
+
+auto explainJson(std::span<const Decision> decisions, Instant now) -> std::string
+{
+    auto json = ordered_json::array();
+    for (const auto &decision : decisions) {
+        json.push_back({{"ago_ms", milliseconds(now - decision.at)},
+                        {"after_ms", milliseconds(decision.at - decisions.front().at)},
+                        {"step", stepName(decision.step)},
+                        {"detail", decision.detail}});
+    }
+    return json.dump(2, ' ', false, ordered_json::error_handler_t::replace) + "\n";
+}
+
+} // namespace banyanring
--- /dev/null
+++ b/src/core/slot_rights.cpp
@@ -0,0 +1,347 @@
+/** @file slot_rights.cpp Slots of backend servers: natural holders, states and dispatches. */
+#include "banyanring/core/invariant_func.h"
+#include "banyanring/core/slot_rights_base.h"
+
+#include <algorithm>
+
+namespace banyanring {
+
+namespace {
+
+constexpr std::uint64_t SlotKeySpace = 0x736c6f74ULL; ///< Keeps keys apart from tokens' keys.
+constexpr Duration ReportMargin = std::chrono::seconds(1); ///< A dispatch reaches its server in it.
+
+/** @return The rendezvous key of a slot. */
+auto slotKey(SlotRef ref) -> std::uint64_t
+{
+    return mix64((std::uint64_t{ref.server} << 16U | ref.index) ^ SlotKeySpace);
+}
+
+} // namespace
+
+SlotRights::SlotRights(const NodeSettings &nodeSettings, NodeId self, std::uint32_t loanBase)
+    : settings(nodeSettings), self(self), loanBase(loanBase)
+{
+}
+
+auto SlotRights::longestRun(ServiceId service) const -> Duration
+{
+    const auto found = this->config->services.find(service);
+    return found == this->config->services.end() ? std::chrono::hours(1) : found->second.longestRun;
+}
+
+auto SlotRights::changeState(Slot &slot, SlotState state) -> void
+{
+    slot.state = state;
+    slot.stateQuery = this->nextQuery;
+}
+
+auto SlotRights::acquire(SlotRef ref, Revision list, NodeId from) -> void
+{
+    this->cleared.erase(ref);
+    auto &slot = this->slots[ref];
+    slot.service = this->config->servers.at(ref.server).service;
+    slot.heldSince = list;
+    slot.earlierHolder = from;
+    slot.held = true;
+    if (!std::holds_alternative<Running>(slot.state) && !std::holds_alternative<Lent>(slot.state)) {
+        this->changeState(slot, Awaiting{});
+    }
+}
+
+auto SlotRights::lose(SlotRef ref) -> void
+{
+    const auto slot = this->slots.find(ref);
+    if (slot == this->slots.end()) {
+        return;
+    }
+    slot->second.held = false;
+    const auto &state = slot->second.state;
+    if (std::holds_alternative<Running>(state) || std::holds_alternative<Lent>(state)) {
+        return;
+    }
+    if (std::holds_alternative<Free>(state)) {
+        this->cleared.insert(ref);
+    }
+    this->slots.erase(slot);
+}
+
+auto SlotRights::clear(SlotRef ref, Slot &slot) -> void
+{
+    if (slot.held) {
+        this->changeState(slot, Free{});
+        return;
+    }
+    this->cleared.insert(ref);
+    this->slots.erase(ref);
+}
+
+auto SlotRights::rebuildIndex() -> void
+{
+    this->byService.clear();
+    for (const auto &[ref, slot] : this->slots) {
+        if (slot.held) {
+            this->byService[slot.service].push_back(ref);
+        }
+    }
+}
+
+auto SlotRights::takeConfig(const ConfigPtr &newConfig, Revision list) -> void
+{
+    this->config = newConfig;
+    std::vector<ServerId> order;
+    for (const auto &[id, server] : newConfig->servers) {
+        order.push_back(id);
+    }
+    std::sort(order.begin(), order.end());
+    std::vector<SlotRef> newRefs;
+    this->ranges.clear();
+    for (const auto id : order) {
+        const auto first = newRefs.size();
+        for (std::uint16_t index = 0; index < newConfig->servers.at(id).slots; ++index) {
+            newRefs.push_back({id, index});
+        }
+        this->ranges[id] = {first, newRefs.size()};
+    }
+    if (newRefs == this->refs) {
+        return;
+    }
+    this->refs = std::move(newRefs);
+    std::vector<std::uint64_t> keys;
+    keys.reserve(this->refs.size());
+    for (const auto ref : this->refs) {
+        keys.push_back(slotKey(ref));
+    }
+    this->holderMap.setKeys(std::move(keys));
+    std::set<SlotRef> own;
+    for (std::size_t index = 0; index < this->refs.size(); ++index) {
+        if (this->holderMap.holder(index) == this->self) {
+            own.insert(this->refs[index]);
+        }
+    }
+    std::vector<SlotRef> lost;
+    for (const auto &[ref, slot] : this->slots) {
+        if (slot.held && !own.contains(ref)) {
+            lost.push_back(ref);
+        }
+    }
+    for (const auto ref : lost) {
+        this->lose(ref);
+    }
+    for (const auto ref : own) {
+        const auto slot = this->slots.find(ref);
+        if (slot == this->slots.end() || !slot->second.held) {
+            this->acquire(ref, list, 0);
+        }
+    }
+    this->rebuildIndex();
+}
+
+auto SlotRights::takeNodes(const std::vector<NodeId> &nodes, Revision list, bool allMoved) -> void
+{
+    for (const auto &change : this->holderMap.setNodes(nodes)) {
+        const auto ref = this->refs[change.key];
+        if (change.to == this->self) {
+            this->acquire(ref, list, change.from);
+        } else if (change.from == this->self) {
+            this->lose(ref);
+        }
+    }
+    if (allMoved) {
+        for (auto &[ref, slot] : this->slots) {
+            if (slot.held) {
+                this->acquire(ref, list, 0);
+            }
+        }
+    }
+    this->rebuildIndex();
+}
+
+auto SlotRights::tick(const Membership &members, Instant now) -> void
+{
+    const auto settled = members.settledRevision(now);
+    std::vector<SlotRef> ended;
+    for (auto &[ref, slot] : this->slots) {
+        if (std::holds_alternative<Awaiting>(slot.state) && settled >= slot.heldSince
+            && settled != 0) {
+            const auto longest = this->settings.slotLoan + this->longestRun(slot.service);
+            this->changeState(slot, Quarantined{now, now + longest});
+        } else if (const auto *quarantine = std::get_if<Quarantined>(&slot.state)) {
+            if (now >= quarantine->until) {
+                this->changeState(slot, Free{});
+            }
+        } else if (const auto *lent = std::get_if<Lent>(&slot.state)) {
+            if (now >= lent->forgetAt) {
+                ended.push_back(ref);
+            }
+        }
+    }
+    for (const auto ref : ended) {
+        this->clear(ref, this->slots.at(ref));
+    }
+    std::erase_if(this->asks, [&](const auto &ask) {
+        return now - ask.second.sentAt > 2 * this->settings.slotLoan;
+    });
+}
+
+auto SlotRights::choose(ServiceId service, const Score &score, const Membership &members,
+                        Instant now) const -> std::optional<SlotChoice>
+{
+    std::optional<SlotChoice> best;
+    double bestScore = 0;
+    const auto consider = [&](const SlotChoice &choice) {
+        const auto rated = score(choice.slot);
+        if (rated && (!best || *rated < bestScore)) {
+            best = choice;
+            bestScore = *rated;
+        }
+    };
+    const auto anchor = members.anchor(now);
+    const auto held = this->byService.find(service);
+    if (anchor && held != this->byService.end()) {
+        for (const auto ref : held->second) {
+            const auto &slot = this->slots.at(ref);
+            if (std::holds_alternative<Free>(slot.state) && *anchor >= slot.heldSince) {
+                consider({ref, 0, members.anchorUntil()});
+            }
+        }
+    }
+    for (const auto &[ref, slot] : this->borrowed) {
+        if (slot.service == service && !slot.dispatch && now < slot.until) {
+            consider({ref, slot.loan, slot.until});
+        }
+    }
+    return best;
+}
+
+auto SlotRights::start(const SlotChoice &choice, DispatchId dispatch) -> void
+{
+    if (choice.loan != 0) {
+        auto &slot = this->borrowed.at(choice.slot);
+        ensure(!slot.dispatch, "one request a slot");
+        slot.dispatch = dispatch;
+        return;
+    }
+    auto &slot = this->slots.at(choice.slot);
+    ensure(slot.held && std::holds_alternative<Free>(slot.state), "one request a slot");
+    this->changeState(slot, Running{dispatch});
+}
+
+auto SlotRights::end(const SlotChoice &choice, Instant now)
+    -> std::optional<std::pair<NodeId, SlotReturn>>
+{
+    if (choice.loan == 0) {
+        const auto slot = this->slots.find(choice.slot);
+        if (slot != this->slots.end() && std::holds_alternative<Running>(slot->second.state)) {
+            this->clear(choice.slot, slot->second);
+        }
+        return std::nullopt;
+    }
+    const auto slot = this->borrowed.find(choice.slot);
+    if (slot == this->borrowed.end() || slot->second.loan != choice.loan) {
+        return std::nullopt;
+    }
+    slot->second.dispatch.reset();
+    slot->second.idleSince = now;
+    if (now < slot->second.until) {
+        return std::nullopt;
+    }
+    const auto lender = slot->second.lender;
+    this->borrowed.erase(slot);
+    return std::pair{lender, SlotReturn{choice.loan, {choice.slot}}};
+}
+
+auto SlotRights::takeReport(const BackendReport &report, Instant now) -> void
+{
+    if (report.startedAt == 0) {
+        return;
+    }
+    const auto sampledAt = now - report.age;
+    const auto first = this->slots.lower_bound({report.server, 0});
+    for (auto slot = first; slot != this->slots.end() && slot->first.server == report.server;
+         ++slot) {
+        const auto *quarantine = std::get_if<Quarantined>(&slot->second.state);
+        if (quarantine == nullptr
+            || sampledAt <= quarantine->since + this->settings.slotLoan + ReportMargin) {
+            continue;
+        }
+        const auto suffix = ".s" + std::to_string(slot->first.index);
+        const bool named = report.runningIds
+                           && std::any_of(report.runningIds->begin(), report.runningIds->end(),
+                                          [&](const auto &id) { return id.ends_with(suffix); });
+        if (report.running == 0 || (report.runningIds && !named)) {
+            this->changeState(slot->second, Free{});
+        }
+    }
+}
+
+auto SlotRights::freeCount(ServiceId service) const -> std::size_t
+{
+    std::size_t count = 0;
+    if (const auto held = this->byService.find(service); held != this->byService.end()) {
+        for (const auto ref : held->second) {
+            count += std::holds_alternative<Free>(this->slots.at(ref).state) ? 1 : 0;
+        }
+    }
+    for (const auto &[ref, slot] : this->borrowed) {
+        count += slot.service == service && !slot.dispatch ? 1 : 0;
+    }
+    return count;
+}
+
+auto SlotRights::totalCount(ServiceId service) const -> std::size_t
+{
+    const auto held = this->byService.find(service);
+    auto count = held == this->byService.end() ? 0 : held->second.size();
+    for (const auto &[ref, slot] : this->borrowed) {
+        count += slot.service == service ? 1 : 0;
+    }
+    return count;
+}
+
+auto SlotRights::holders(ServerId server) const -> std::set<NodeId>
+{
+    std::set<NodeId> result;
+    const auto range = this->ranges.find(server);
+    if (range == this->ranges.end()) {
+        return result;
+    }
+    for (auto index = range->second.first; index < range->second.second; ++index) {
+        result.insert(this->holderMap.holder(index));
+    }
+    const auto first = this->slots.lower_bound({server, 0});
+    for (auto slot = first; slot != this->slots.end() && slot->first.server == server; ++slot) {
+        if (const auto *lent = std::get_if<Lent>(&slot->second.state)) {
+            result.insert(lent->borrower);
+        }
+    }
+    return result;
+}
+
+auto SlotRights::servers() const -> std::set<ServerId>
+{
+    std::set<ServerId> result;
+    for (const auto &[ref, slot] : this->slots) {
+        result.insert(ref.server);
+    }
+    for (const auto &[ref, slot] : this->borrowed) {
+        result.insert(ref.server);
+    }
+    return result;
+}
+
+auto SlotRights::counts() const -> Counts
+{
+    Counts counts;
+    for (const auto &[ref, slot] : this->slots) {
+        counts.awaiting += std::holds_alternative<Awaiting>(slot.state) ? 1 : 0;
+        counts.quarantined += std::holds_alternative<Quarantined>(slot.state) ? 1 : 0;
+        counts.free += std::holds_alternative<Free>(slot.state) ? 1 : 0;
+        counts.running += std::holds_alternative<Running>(slot.state) ? 1 : 0;
+        counts.lent += std::holds_alternative<Lent>(slot.state) ? 1 : 0;
+    }
+    counts.borrowed = this->borrowed.size();
+    return counts;
+}
+
+} // namespace banyanring
--- /dev/null
+++ b/src/core/token_bucket.cpp
@@ -0,0 +1,99 @@
+/** @file token_bucket.cpp One part of an organisation's rate and burst. */
+#include "banyanring/core/token_bucket.h"
+
+#include "banyanring/core/invariant_func.h"
+
+#include <algorithm>
+
+namespace banyanring {
+
+namespace {
+
+constexpr double LendableShare = 0.5; ///< Most of the burst that may be lent at a time.
+constexpr double Tolerance = 1e-6; ///< Relative error of the sums.
+
+} // namespace
+
+TokenBucket::TokenBucket(double rate, double burst, Instant now)
+    : rate(rate), burst(burst), refilledAt(now)
+{
+}
+
+auto TokenBucket::refill(Instant now) -> void
+{
+    const auto elapsed = std::chrono::duration<double>(now - this->refilledAt).count();
+    if (elapsed <= 0) {
+        return;
+    }
+    this->refilledAt = now;
+    if (now >= this->heldBackUntil) {
+        this->heldBack = 0;
+    }
+    const auto cap = this->burst - this->lent - this->reserved - this->heldBack;
+    if (this->level < cap) {
+        this->level = std::min(cap, this->level + elapsed * this->rate);
+    }
+}
+
+auto TokenBucket::setLimits(double newRate, double newBurst, Instant now) -> void
+{
+    this->refill(now);
+    this->rate = newRate;
+    this->burst = newBurst;
+    this->level = std::max(0.0, std::min(this->level, this->burst - this->lent - this->reserved));
+}
+
+auto TokenBucket::holdBack(double amount, Instant until) -> void
+{
+    this->heldBack = std::min(amount, this->burst);
+    this->heldBackUntil = until;
+}
+
+auto TokenBucket::reserve(double amount, Instant now) -> bool
+{
+    this->refill(now);
+    if (this->level < amount) {
+        return false;
+    }
+    this->level -= amount;
+    this->reserved += amount;
+    return true;
+}
+
+auto TokenBucket::spend(double amount) -> void
+{
+    this->reserved = std::max(0.0, this->reserved - amount);
+}
+
+auto TokenBucket::release(double amount) -> void
+{
+    this->spend(amount);
+    const auto cap = this->burst - this->lent - this->reserved;
+    this->level = std::max(0.0, std::min(cap, this->level + amount));
+    ensure(this->level + this->lent + this->reserved
+               <= std::max(this->burst, this->lent + this->reserved) * (1 + Tolerance),
+           "tokens within burst");
+}
+
+auto TokenBucket::lend(double wanted, Instant now) -> double
+{
+    this->refill(now);
+    const auto lendable = this->burst * LendableShare - this->lent;
+    const auto amount = std::max(0.0, std::min({wanted, this->level, lendable}));
+    this->level -= amount;
+    this->lent += amount;
+    return amount;
+}
+
+auto TokenBucket::endLoan(double amount) -> void
+{
+    this->lent = std::max(0.0, this->lent - amount);
+}
+
+auto TokenBucket::available(Instant now) -> double
+{
+    this->refill(now);
+    return this->level;
+}
+
+} // namespace banyanring
