--- a/include/banyanring/adapters/settings_type.h
+++ b/include/banyanring/adapters/settings_type.h
@@ -30,6 +30,8 @@
     std::int64_t partRate = 0;
     std::int64_t minPartBurst = 0;
     std::int64_t minParts = 0;
+    std::int64_t slotBlock = 0;
+    std::int64_t reportFreshMs = 0;
     std::int64_t waitRoom = 0;
     std::int64_t ticketMs = 0;
     std::int64_t answerKeepMs = 0;
--- a/include/banyanring/core/event_type.h
+++ b/include/banyanring/core/event_type.h
@@ -89,7 +89,8 @@
     std::uint32_t running = 0; ///< Requests running or queued there.
     std::optional<std::vector<std::string>> runningIds; ///< Their request ids, if it tells them.
     bool cold = false; ///< It says that it is in cold start.
-    Duration age{}; ///< Age of the report at its arrival.
+    Duration age{}; ///< Age of the report at its arrival, its lag included.
+    Duration readAge{}; ///< Time since its reading began.
 };
 
 /** A validated configuration was read. */
--- a/include/banyanring/core/membership_base.h
+++ b/include/banyanring/core/membership_base.h
@@ -28,7 +28,6 @@
     {
         Heartbeat heartbeat;
         Instant heardAt{}; ///< Latest instant at which it certainly had not yet stated this.
-        bool heard = false; ///< False while only pulls, whose age is unbounded, told of it.
     };
 
     /**
@@ -58,12 +57,14 @@
 
     /**
      * Answers a pull with this node's heartbeat and a sample of fresh ones.
+     * @param from The asker.
      * @param pull The peer's message.
      * @param random Source of chance.
      * @param now The present.
      * @return The reply.
      */
-    auto answerPull(const GossipPull &pull, std::mt19937_64 &random, Instant now) -> GossipReply;
+    auto answerPull(NodeId from, const GossipPull &pull, std::mt19937_64 &random, Instant now)
+        -> GossipReply;
 
     /**
      * Takes the heartbeats of a reply.
@@ -127,16 +128,31 @@
     auto ownHeartbeat(Instant now) -> Heartbeat;
 
     /**
-     * Finds a newer configuration among the peers.
+     * Finds a newer configuration among the peers in contact.
+     * @param random Chooses among the peers that have it.
+     * @param now The present.
      * @return Its revision and a peer that has it; nothing if none is newer.
      */
-    auto newerConfig() const -> std::optional<std::pair<Revision, NodeId>>;
+    auto newerConfig(std::mt19937_64 &random, Instant now) const
+        -> std::optional<std::pair<Revision, NodeId>>;
 
     /**
-     * Finds a newer VM list among the peers.
+     * Finds a newer VM list among the peers in contact.
+     * @param random Chooses among the peers that have it.
+     * @param now The present.
      * @return Its revision and a peer that has it; nothing if none is newer.
      */
-    auto newerList() const -> std::optional<std::pair<Revision, NodeId>>;
+    auto newerList(std::mt19937_64 &random, Instant now) const
+        -> std::optional<std::pair<Revision, NodeId>>;
+
+    /**
+     * Tells whether another node's word on a right that moves with a list covers every earlier
+     * holder. It does not while this incarnation is young, nor for lists that a majority had
+     * stated by then: an earlier incarnation of this node may have held the right under them.
+     * @param list Revision of the list.
+     * @return Whether it does.
+     */
+    auto coversEarlier(Revision list) const -> bool;
 
     /** @return The newest list, or null. */
     auto list() const -> const VmListPtr &
@@ -172,7 +188,9 @@
         bool chained = true; ///< No revision was missed between it and the current list.
     };
 
-    auto take(const Heartbeat &heartbeat, std::optional<Instant> statedAfter) -> void;
+    auto newest(Revision Heartbeat::*field, Revision own, std::mt19937_64 &random,
+                Instant now) const -> std::optional<std::pair<Revision, NodeId>>;
+    auto take(const Heartbeat &heartbeat, Instant statedAfter) -> void;
     auto recompute(Instant now) -> void;
     auto majorityUntil(const Epoch &epoch, const std::vector<NodeId> &voters, Instant now) const
         -> Instant;
@@ -190,6 +208,7 @@
     std::unordered_map<NodeId, Peer> known;
     std::map<std::uint64_t, Instant> pulls; ///< Open pulls by token.
     std::vector<NodeId> pullOrder; ///< Peers still to pull from in this round.
+    std::optional<Revision> inherited; ///< Newest list heard of when this incarnation grew up.
     Revision bestRevision = 0;
     Instant bestUntil{};
 };
--- a/include/banyanring/core/message_type.h
+++ b/include/banyanring/core/message_type.h
@@ -17,14 +17,6 @@
     bool busy = false; ///< The node has no free slot of the service.
 };
 
-/** A server that has to be treated as cold, told by the node that saw the first sign. */
-struct ColdNotice
-{
-    ServerId server = 0;
-    std::uint64_t startedAt = 0; ///< Start time the server reported; orders its starts.
-    bool cold = true; ///< False once it is warm again.
-};
-
 /** What a node states of itself, passed on by others. */
 struct Heartbeat
 {
@@ -44,14 +36,14 @@
     std::uint64_t notice = 0; ///< Chosen by the sender, given back in the acknowledgement.
     std::uint64_t fingerprint = 0; ///< Hash of organisation, path and body.
     ServerId server = 0;
-    std::uint64_t startedAt = 0; ///< Start time of the server that died.
+    std::uint64_t death = 0; ///< Unique number of the death, by the node that saw it.
 };
 
-/** Asks a peer for heartbeats; carries the asker's own. */
+/** Asks a peer for heartbeats. */
 struct GossipPull
 {
     std::uint64_t token = 0; ///< Given back in the reply, which bounds the reply's age.
-    Heartbeat self;
+    bool young = false; ///< The asker has just started and knows nothing yet.
 };
 
 /** Answers a GossipPull. */
@@ -75,6 +67,7 @@
 {
     SlotRef slot;
     std::uint64_t loan = 0; ///< Loan under which the other node has it; 0 for an earlier holder.
+    Revision since = 0; ///< List that moved it from an earlier holder.
 };
 
 /** A natural holder asks another node which slots are free of that node's requests. */
@@ -141,9 +134,8 @@
     std::uint64_t notice = 0;
 };
 
-using PeerMessage =
-    std::variant<GossipPull, GossipReply, SlotQuery, SlotQueryReply, SlotLoanAsk, SlotLoan,
-                 SlotReturn, TokenLoanAsk, TokenLoan, CrashNotice, CrashNoticeAck,
-                 ColdNotice>; ///< All messages; the index is the wire number.
+using PeerMessage = std::variant<GossipPull, GossipReply, SlotQuery, SlotQueryReply, SlotLoanAsk,
+                                 SlotLoan, SlotReturn, TokenLoanAsk, TokenLoan, CrashNotice,
+                                 CrashNoticeAck>; ///< All messages; the index is the wire number.
 
 } // namespace banyanring
--- a/include/banyanring/core/node_base.h
+++ b/include/banyanring/core/node_base.h
@@ -102,6 +102,13 @@
 
     /** @return Whether this node takes requests. */
     auto ready() const -> bool;
+    /**
+     * Counts waiting requests.
+     * @param service The service.
+     * @param tier The tier.
+     * @return The count.
+     */
+    auto waitingCount(ServiceId service, Tier tier) const -> std::size_t;
     /** @return Numbers of things that happened. */
     auto counters() const -> const Counters &
     {
@@ -174,7 +181,6 @@
         ServiceId service = 0;
         OrganisationId organisation = 0;
         std::uint64_t fingerprint = 0;
-        std::uint64_t serverStart = 0;
         bool isLong = false;
         bool probation = false;
         bool cancelled = false;
@@ -256,9 +262,9 @@
     auto on(NodeId from, const TokenLoan &message) -> void;
     auto on(NodeId from, const CrashNotice &message) -> void;
     auto on(NodeId from, const CrashNoticeAck &message) -> void;
-    auto on(NodeId from, const ColdNotice &message) -> void;
     auto send(NodeId to, PeerMessage message) -> void;
     auto resendCrashes() -> void;
+    auto learnCrash(const CrashNotice &notice) -> void;
 
     // node_floor.cpp
     auto updateFloors() -> void;
@@ -285,6 +291,7 @@
     }
     auto note(std::string_view requestId, Step step, std::string detail) -> void;
     auto addressOf(NodeId node) const -> std::string;
+    auto runsOnEngine(ServiceId service) const -> bool;
 
     NodeSettings settings;
     NodeId self;
@@ -300,8 +307,6 @@
     TicketBook tickets;
     SuspectTable suspects;
     DecisionLog decisions;
-    HolderMap watchers; ///< Which node reads which server's reports.
-    std::vector<ServerId> watchedKeys;
     Counters counts;
 
     std::unordered_map<CallId, Call> calls;
@@ -318,6 +323,7 @@
     Instant nextFetch{};
     std::optional<Instant> stopAt;
     bool drained = false;
+    std::optional<Instant> behindSince; ///< A peer has had a newer configuration since then.
     bool caughtUp = false; ///< Heard a majority, none of it with a newer configuration.
 };
 
--- a/include/banyanring/core/node_settings_type.h
+++ b/include/banyanring/core/node_settings_type.h
@@ -18,6 +18,9 @@
     double partRate = 10000; ///< Tokens a second that one part carries.
     double minPartBurst = 4000; ///< Least burst of a part, in tokens.
     std::uint32_t minParts = 3; ///< Parts of an organisation, if its burst allows.
+    std::uint32_t slotBlock = 1; ///< Adjoining slots with the same natural holder.
+    Duration reportFresh =
+        std::chrono::seconds(2); ///< A server counts as warm this long after a report.
     std::uint32_t waitRoom = 256; ///< Requests that may wait for one service.
     Duration ticketValid = std::chrono::seconds(30); ///< Life of an unused ticket.
     Duration answerKeep = std::chrono::seconds(120); ///< How long a ticket's answer is kept.
@@ -25,8 +28,10 @@
     std::uint32_t ticketCount = 100000; ///< Most used tickets remembered.
     Duration addressKeep = std::chrono::seconds(5); ///< How long callers keep an address answer.
     Duration drainGrace = std::chrono::seconds(6); ///< Time a stopping node still takes requests.
+    Duration configFence =
+        std::chrono::seconds(2); ///< Longest time of dispatches under an old configuration.
     Duration suspectKeep = std::chrono::minutes(10); ///< How long a crash suspect is remembered.
-    Duration crashAckLimit = std::chrono::seconds(2); ///< Longest wait for crash acknowledgements.
+    Duration crashAckLimit = std::chrono::seconds(4); ///< Longest wait for crash acknowledgements.
     std::uint32_t decisionCount = 20000; ///< Decisions remembered for explanations.
     double longShare = 0.7; ///< Share of slots that long requests may take.
 };
--- a/include/banyanring/core/server_health_base.h
+++ b/include/banyanring/core/server_health_base.h
@@ -3,7 +3,8 @@
 #pragma once
 
 #include "banyanring/core/config_type.h"
-#include "banyanring/core/message_type.h"
+#include "banyanring/core/event_type.h"
+#include "banyanring/core/node_settings_type.h"
 
 #include <optional>
 #include <unordered_map>
@@ -18,36 +19,27 @@
     struct State
     {
         std::uint64_t startedAt = 0; ///< Newest start time known; 0 for none.
-        bool known = false; ///< A report or notice told of this start.
+        bool known = false; ///< A report told of this start.
         bool cold = true; ///< In cold start.
         bool reachable = true; ///< The last report or dispatch reached it.
         bool suspected = false; ///< Showed a sign of a restart that no report explained yet.
         Instant suspectedAt{};
         Instant warmSince{}; ///< When it turned warm here.
-        Instant changedAt{}; ///< When a report last changed this state.
+        Instant confirmedUntil{}; ///< The last report counts until then.
         double tokensPerSecond = 0; ///< Moving average per request; 0 for unknown.
         std::uint32_t running = 0; ///< Requests running there by the last report.
     };
 
-    /**
-     * Takes a load report. One that was sampled before a suspicion does not end it.
-     * @param server The backend server.
-     * @param startedAt Start time that it reports; 0 if it could not be reached.
-     * @param cold Whether it says that it is in cold start.
-     * @param running Requests running there.
-     * @param sampledAt Latest instant at which the report was surely not yet older.
-     * @param now The present.
-     * @return Whether peers should be told.
-     */
-    auto takeReport(ServerId server, std::uint64_t startedAt, bool cold, std::uint32_t running,
-                    Instant sampledAt, Instant now) -> bool;
+    /** @param nodeSettings Tunable values; must outlive this object. */
+    explicit ServerHealth(const NodeSettings &nodeSettings) : settings(nodeSettings) {}
 
     /**
-     * Takes a peer's notice unless something newer is known.
-     * @param notice The notice.
+     * Takes a load report. One that was sampled before a suspicion does not end it.
+     * @param report The report.
      * @param now The present.
+     * @return Whether it changes how the server may be used.
      */
-    auto takeNotice(const ColdNotice &notice, Instant now) -> void;
+    auto takeReport(const BackendReport &report, Instant now) -> bool;
 
     /**
      * Notes a sign that a server restarted or died: a reset or refused connection.
@@ -68,11 +60,18 @@
      * Gives the number of slots that may be used: those with a lower index.
      * @param server The backend server.
      * @param now The present.
-     * @return The bound: none if it is unreachable, the cold slots in cold start, doubled each
-     *         second once warm.
+     * @return The bound: none if it is unreachable, the cold slots in cold start or without a
+     *         fresh report, doubled each second once warm.
      */
     auto slotLimit(const BackendServer &server, Instant now) const -> std::uint16_t;
 
+    /**
+     * Tells until when a server counts as warm if no further report is read.
+     * @param server The backend server.
+     * @return The instant; a dispatch beyond the cold slots must be written by then.
+     */
+    auto warmUntil(ServerId server) const -> Instant;
+
     /**
      * Gives the state of a server.
      * @param server The backend server.
@@ -90,6 +89,7 @@
     auto takeConfig(const Config &config) -> void;
 
 private:
+    const NodeSettings &settings;
     std::unordered_map<ServerId, State> states;
 };
 
--- a/include/banyanring/core/slot_rights_base.h
+++ b/include/banyanring/core/slot_rights_base.h
@@ -48,8 +48,10 @@
      * @param nodes Sorted live nodes.
      * @param list Its revision.
      * @param allMoved Whether every slot must be begun anew (a revision was missed).
+     * @param askEarlier Whether the earlier holders' word may free slots.
      */
-    auto takeNodes(const std::vector<NodeId> &nodes, Revision list, bool allMoved) -> void;
+    auto takeNodes(const std::vector<NodeId> &nodes, Revision list, bool allMoved, bool askEarlier)
+        -> void;
 
     /**
      * Advances slots whose waiting time is over.
@@ -175,13 +177,6 @@
      */
     auto totalCount(ServiceId service) const -> std::size_t;
 
-    /**
-     * Lists the distinct holders of a server's slots.
-     * @param server The backend server.
-     * @return The nodes.
-     */
-    auto holders(ServerId server) const -> std::set<NodeId>;
-
     /** @return Servers of which this node holds or borrows a slot. */
     auto servers() const -> std::set<ServerId>;
 
@@ -235,6 +230,7 @@
         ServiceId service = 0;
         Revision heldSince = 0;
         NodeId earlierHolder = 0;
+        Revision lostWith = 0; ///< List that moved it away.
         bool held = true; ///< False once it moved away.
         SlotState state = Awaiting{};
         std::uint64_t stateQuery = 0; ///< Queries with a smaller token say nothing of this state.
@@ -261,7 +257,7 @@
     auto released(const CountedSlot &counted, Instant now) const -> bool;
     auto changeState(Slot &slot, SlotState state) -> void;
     auto acquire(SlotRef ref, Revision list, NodeId from) -> void;
-    auto lose(SlotRef ref) -> void;
+    auto lose(SlotRef ref, Revision list) -> void;
     auto clear(SlotRef ref, Slot &slot) -> void;
     auto longestRun(ServiceId service) const -> Duration;
     auto rebuildIndex() -> void;
@@ -272,12 +268,12 @@
     std::uint32_t loanCount = 0;
     ConfigPtr config;
     std::vector<SlotRef> refs; ///< All slots of the fleet, by key index.
-    std::map<ServerId, std::pair<std::size_t, std::size_t>> ranges; ///< Key indices of a server.
     HolderMap holderMap;
     std::map<SlotRef, Slot> slots;
     std::map<SlotRef, Borrowed> borrowed;
     std::unordered_map<ServiceId, std::vector<SlotRef>> byService; ///< Held slots.
-    std::set<SlotRef> cleared; ///< Not held; certainly free of this node's requests.
+    /** Slots that moved away, free of this node's requests and those before, by the list. */
+    std::map<SlotRef, Revision> cleared;
     std::map<std::uint64_t, OpenAsk> asks;
     std::map<std::uint64_t, NodeId> openQueries;
     std::uint64_t nextQuery = 1;
--- a/include/banyanring/core/suspect_table_base.h
+++ b/include/banyanring/core/suspect_table_base.h
@@ -20,11 +20,11 @@
      * Counts a death; a repeat of the same one counts once.
      * @param fingerprint Of the request.
      * @param server The backend server.
-     * @param startedAt Its start time, which tells its deaths apart.
+     * @param death Number of the death.
      * @param now The present.
+     * @return Whether it is news.
      */
-    auto add(std::uint64_t fingerprint, ServerId server, std::uint64_t startedAt, Instant now)
-        -> void;
+    auto add(std::uint64_t fingerprint, ServerId server, std::uint64_t death, Instant now) -> bool;
 
     /**
      * Counts the deaths.
@@ -33,8 +33,12 @@
      */
     auto deaths(std::uint64_t fingerprint) const -> std::size_t;
 
-    /** @return All deaths as notices, for a young peer. */
-    auto notices() const -> std::vector<CrashNotice>;
+    /**
+     * Lists deaths as notices.
+     * @param since Only those learnt after this instant.
+     * @return The notices, at most a few hundred.
+     */
+    auto notices(Instant since) const -> std::vector<CrashNotice>;
 
     /** @param now Suspects that are older than the settings' time are forgotten. */
     auto tick(Instant now) -> void;
@@ -43,7 +47,7 @@
     /** Deaths of one fingerprint. */
     struct Suspect
     {
-        std::set<std::pair<ServerId, std::uint64_t>> deaths;
+        std::map<std::uint64_t, ServerId> deaths; ///< By number.
         Instant lastAt{};
     };
 
--- a/src/adapters/backend_caller.cpp
+++ b/src/adapters/backend_caller.cpp
@@ -205,9 +205,6 @@
                                  {"address", action.address},
                                  {"written", written ? "yes" : "no"},
                                  {"error", textOf(error)}});
-    if (written && flight->toCaller) {
-        this->callers.endStream(action.call, false);
-    }
     const bool callerGone =
         flight->action.kind == BackendKind::Engine && flight->status != 0 && !flight->toCaller;
     if (callerGone) {
--- a/src/adapters/peer_codec.cpp
+++ b/src/adapters/peer_codec.cpp
@@ -23,10 +23,6 @@
 template <typename M, typename T>
 concept Is = std::same_as<std::remove_const_t<M>, T>;
 
-template <Is<ColdNotice> M> auto fields(M &m) -> auto
-{
-    return std::tie(m.server, m.startedAt, m.cold);
-}
 template <Is<Heartbeat> M> auto fields(M &m) -> auto
 {
     return std::tie(m.node, m.incarnation, m.sequence, m.configRevision, m.listRevision, m.age,
@@ -34,7 +30,7 @@
 }
 template <Is<GossipPull> M> auto fields(M &m) -> auto
 {
-    return std::tie(m.token, m.self);
+    return std::tie(m.token, m.young);
 }
 template <Is<GossipReply> M> auto fields(M &m) -> auto
 {
@@ -46,7 +42,7 @@
 }
 template <Is<CountedSlot> M> auto fields(M &m) -> auto
 {
-    return std::tie(m.slot, m.loan);
+    return std::tie(m.slot, m.loan, m.since);
 }
 template <Is<SlotQuery> M> auto fields(M &m) -> auto
 {
@@ -78,7 +74,7 @@
 }
 template <Is<CrashNotice> M> auto fields(M &m) -> auto
 {
-    return std::tie(m.notice, m.fingerprint, m.server, m.startedAt);
+    return std::tie(m.notice, m.fingerprint, m.server, m.death);
 }
 template <Is<CrashNoticeAck> M> auto fields(M &m) -> auto
 {
--- a/src/adapters/report_poller.cpp
+++ b/src/adapters/report_poller.cpp
@@ -29,7 +29,8 @@
         report.runningIds = value["running_ids"].get<std::vector<std::string>>();
     }
     const std::chrono::milliseconds lag(value.value("age_ms", std::int64_t{0}));
-    report.age = bootNow() - askedAt + lag;
+    report.readAge = bootNow() - askedAt;
+    report.age = report.readAge + lag;
     return report;
 }
 
--- a/src/adapters/settings_table.cpp
+++ b/src/adapters/settings_table.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::int64_t Hour = 3600 * 1000; ///< In milliseconds.
 
-const std::array<SettingRow, 31> Table{{
+const std::array<SettingRow, 33> Table{{
     {"node", &Settings::node, 1, 65535, "", "number", "Number of this VM in the published list"},
     {"entry_listen", &Settings::entryListen, 0, 0, "", "host:port", "Where callers connect"},
     {"peer_listen", &Settings::peerListen, 0, 0, "", "host:port", "Where peers connect"},
@@ -39,6 +39,12 @@
      "Least burst of a part; the same on all nodes"},
     {"min_parts", &Settings::minParts, 1, 64, "3", "parts",
      "Parts of an organisation whose burst allows it; the same on all nodes"},
+    {"slot_block", &Settings::slotBlock, 1, 4096, "1", "slots",
+     "Adjoining slots of a server with one natural holder; the same on all nodes, changed only "
+     "while"
+     " all are stopped"},
+    {"report_fresh_ms", &Settings::reportFreshMs, 100, 60000, "2000", "ms",
+     "A server counts as warm this long after the reading of a report; above poll_ms"},
     {"wait_room", &Settings::waitRoom, 1, 100000, "256", "requests",
      "Requests that may wait for one service"},
     {"ticket_ms", &Settings::ticketMs, 100, Hour, "30000", "ms", "Life of an unused ticket"},
@@ -120,6 +126,10 @@
                             + "; allowed: above address_keep_ms ("
                             + std::to_string(settings.addressKeepMs) + ")");
     }
+    if (settings.reportFreshMs <= settings.pollMs) {
+        throw SettingsError(file + ": report_fresh_ms is " + std::to_string(settings.reportFreshMs)
+                            + "; allowed: above poll_ms (" + std::to_string(settings.pollMs) + ")");
+    }
     if (settings.pullMs * 4 > settings.lapseMs) {
         throw SettingsError(file + ": pull_ms is " + std::to_string(settings.pullMs)
                             + "; allowed: at most a quarter of lapse_ms ("
@@ -210,6 +220,8 @@
     result.partRate = static_cast<double>(settings.partRate);
     result.minPartBurst = static_cast<double>(settings.minPartBurst);
     result.minParts = static_cast<std::uint32_t>(settings.minParts);
+    result.slotBlock = static_cast<std::uint32_t>(settings.slotBlock);
+    result.reportFresh = milliseconds(settings.reportFreshMs);
     result.waitRoom = static_cast<std::uint32_t>(settings.waitRoom);
     result.ticketValid = milliseconds(settings.ticketMs);
     result.answerKeep = milliseconds(settings.answerKeepMs);
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -90,7 +90,7 @@
     this->pullOrder.pop_back();
     const auto token = this->nextToken++;
     this->pulls[token] = now;
-    return std::pair{peer, GossipPull{token, this->ownHeartbeat(now)}};
+    return std::pair{peer, GossipPull{token, !this->statementsCount(now)}};
 }
 
 auto Membership::ownHeartbeat(Instant now) -> Heartbeat
@@ -107,16 +107,15 @@
     return heartbeat;
 }
 
-auto Membership::answerPull(const GossipPull &pull, std::mt19937_64 &random, Instant now)
-    -> GossipReply
+auto Membership::answerPull(NodeId from, const GossipPull &pull, std::mt19937_64 &random,
+                            Instant now) -> GossipReply
 {
-    this->take(pull.self, std::nullopt);
     GossipReply reply;
     reply.token = pull.token;
     reply.heartbeats.push_back(this->ownHeartbeat(now));
     std::vector<const Peer *> fresh;
     for (const auto &[node, peer] : this->known) {
-        if (peer.heard && node != pull.self.node && now - peer.heardAt < this->settings.lapse) {
+        if (node != from && now - peer.heardAt < this->settings.lapse) {
             fresh.push_back(&peer);
         }
     }
@@ -143,7 +142,7 @@
     this->recompute(now);
 }
 
-auto Membership::take(const Heartbeat &heartbeat, std::optional<Instant> statedAfter) -> void
+auto Membership::take(const Heartbeat &heartbeat, Instant statedAfter) -> void
 {
     if (heartbeat.node == this->self || heartbeat.node == 0) {
         return;
@@ -157,12 +156,10 @@
     }
     if (order > oldOrder) {
         peer.heartbeat = heartbeat;
-        peer.heard = statedAfter.has_value();
-        peer.heardAt = statedAfter.value_or(Instant{});
-    } else if (statedAfter && (!peer.heard || *statedAfter > peer.heardAt)) {
+        peer.heardAt = statedAfter;
+    } else {
         // The same statement over another way: the later bound is the closer one.
-        peer.heard = true;
-        peer.heardAt = *statedAfter;
+        peer.heardAt = std::max(peer.heardAt, statedAfter);
     }
 }
 
@@ -178,7 +175,7 @@
             continue;
         }
         const auto peer = this->known.find(node);
-        if (peer == this->known.end() || !peer->second.heard) {
+        if (peer == this->known.end()) {
             continue;
         }
         const auto revision = peer->second.heartbeat.listRevision;
@@ -210,6 +207,12 @@
     if (!this->current || !this->statementsCount(now)) {
         return;
     }
+    if (!this->inherited) {
+        this->inherited = this->current->revision;
+        for (const auto &[node, peer] : this->known) {
+            this->inherited = std::max(*this->inherited, peer.heartbeat.listRevision);
+        }
+    }
     for (auto epoch = this->epochs.rbegin(); epoch != this->epochs.rend(); ++epoch) {
         if (!epoch->chained) {
             break;
@@ -251,18 +254,22 @@
     return 0;
 }
 
+auto Membership::coversEarlier(Revision list) const -> bool
+{
+    return this->inherited && list > *this->inherited;
+}
+
 auto Membership::inContact(NodeId node, Instant now) const -> bool
 {
     const auto peer = this->known.find(node);
-    return peer != this->known.end() && peer->second.heard
-           && now - peer->second.heardAt < this->settings.lapse;
+    return peer != this->known.end() && now - peer->second.heardAt < this->settings.lapse;
 }
 
 auto Membership::contacts(Instant now) const -> std::vector<const Peer *>
 {
     std::vector<const Peer *> result;
     for (const auto &[node, peer] : this->known) {
-        if (peer.heard && now - peer.heardAt < this->settings.lapse) {
+        if (now - peer.heardAt < this->settings.lapse) {
             result.push_back(&peer);
         }
     }
@@ -284,23 +291,41 @@
     return heard >= majorityOf(this->liveNodes().size());
 }
 
-auto Membership::newerConfig() const -> std::optional<std::pair<Revision, NodeId>>
+auto Membership::newest(Revision Heartbeat::*field, Revision own, std::mt19937_64 &random,
+                        Instant now) const -> std::optional<std::pair<Revision, NodeId>>
 {
-    auto best = std::pair{this->configRevision, NodeId{0}};
+    auto best = own;
+    std::vector<NodeId> having;
     for (const auto &[node, peer] : this->known) {
-        best = std::max(best, std::pair{peer.heartbeat.configRevision, node});
+        const auto revision = peer.heartbeat.*field;
+        if (now - peer.heardAt >= this->settings.lapse) {
+            continue;
+        }
+        if (revision > best) {
+            best = revision;
+            having.clear();
+        }
+        if (revision == best && best > own) {
+            having.push_back(node);
+        }
+    }
+    if (having.empty()) {
+        return std::nullopt;
     }
-    return best.first > this->configRevision ? std::optional(best) : std::nullopt;
+    return std::pair{best, having[random() % having.size()]};
+}
+
+auto Membership::newerConfig(std::mt19937_64 &random, Instant now) const
+    -> std::optional<std::pair<Revision, NodeId>>
+{
+    return this->newest(&Heartbeat::configRevision, this->configRevision, random, now);
 }
 
-auto Membership::newerList() const -> std::optional<std::pair<Revision, NodeId>>
+auto Membership::newerList(std::mt19937_64 &random, Instant now) const
+    -> std::optional<std::pair<Revision, NodeId>>
 {
     const auto own = this->current ? this->current->revision : 0;
-    auto best = std::pair{own, NodeId{0}};
-    for (const auto &[node, peer] : this->known) {
-        best = std::max(best, std::pair{peer.heartbeat.listRevision, node});
-    }
-    return best.first > own ? std::optional(best) : std::nullopt;
+    return this->newest(&Heartbeat::listRevision, own, random, now);
 }
 
 } // namespace banyanring
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -15,7 +15,7 @@
     : settings(nodeSettings), self(identity.node), incarnation(identity.incarnation),
       random(identity.seed), now(now), members(settings, self, incarnation, now),
       tokens(settings, self), slots(settings, self, static_cast<std::uint32_t>(random())),
-      tickets(settings, self, incarnation, identity.secret), suspects(settings),
+      health(settings), tickets(settings, self, incarnation, identity.secret), suspects(settings),
       decisions(settings.decisionCount)
 {
 }
@@ -25,6 +25,8 @@
     ensure(present >= this->now, "time never runs back");
     this->now = present;
     this->actions.clear();
+    // After a pause or a partition, what the peers have learnt meanwhile comes first.
+    this->caughtUp = this->caughtUp && this->members.anchor(this->now);
     std::visit([this](const auto &typed) { this->on(typed); }, event);
     return std::move(this->actions);
 }
@@ -41,7 +43,9 @@
 
 auto Node::ready() const -> bool
 {
-    return this->caughtUp && this->members.anchor(this->now);
+    const bool fenced =
+        this->behindSince && this->now - *this->behindSince > this->settings.configFence;
+    return this->caughtUp && !fenced && this->members.anchor(this->now);
 }
 
 auto Node::addressOf(NodeId node) const -> std::string
@@ -54,6 +58,19 @@
     return {};
 }
 
+auto Node::runsOnEngine(ServiceId service) const -> bool
+{
+    const auto found = this->currentConfig->services.find(service);
+    return found != this->currentConfig->services.end()
+           && found->second.kind == BackendKind::Engine;
+}
+
+auto Node::waitingCount(ServiceId service, Tier tier) const -> std::size_t
+{
+    const auto state = this->services.find(service);
+    return state == this->services.end() ? 0 : state->second.queue.count(tier);
+}
+
 auto Node::on(const Tick &) -> void
 {
     this->tokens.tick(this->members, this->now);
@@ -82,9 +99,9 @@
             this->send(node, query);
         }
     }
-    this->caughtUp =
-        this->caughtUp
-        || (this->currentConfig && this->members.anchor(this->now) && !this->members.newerConfig());
+    this->caughtUp = this->caughtUp
+                     || (this->currentConfig && this->members.anchor(this->now)
+                         && !this->members.newerConfig(this->random, this->now));
     this->fetchNewer();
     for (auto &[service, state] : this->services) {
         if (state.queue.size() > 0) {
@@ -106,11 +123,15 @@
         return;
     }
     this->nextFetch = this->now + FetchInterval;
-    if (const auto newer = this->members.newerConfig()) {
+    const auto newer = this->members.newerConfig(this->random, this->now);
+    if (!newer) {
+        this->behindSince.reset();
+    } else {
+        this->behindSince = this->behindSince.value_or(this->now);
         this->act(FetchConfig{newer->first, newer->second});
     }
-    if (const auto newer = this->members.newerList()) {
-        this->act(FetchVmList{newer->first, newer->second});
+    if (const auto list = this->members.newerList(this->random, this->now)) {
+        this->act(FetchVmList{list->first, list->second});
     }
 }
 
--- a/src/core/node_admit.cpp
+++ b/src/core/node_admit.cpp
@@ -233,6 +233,9 @@
     std::erase_if(candidates, [&](NodeId node) {
         return node != this->self && !this->members.inContact(node, this->now);
     });
+    if (candidates.empty()) {
+        return refuseNow(RetrySoon);
+    }
     const auto judge = rendezvousOrder(call.fingerprint, candidates).front();
     if (judge != this->self && !call.request.forwarded && !call.ticket) {
         ++this->counts.forwarded;
@@ -320,9 +323,7 @@
     if (const auto *running = std::get_if<InRun>(&found->second.state)) {
         auto &run = this->runs.at(running->dispatch);
         run.call.reset();
-        const auto &service = this->currentConfig->services.find(run.service);
-        const bool engine = service != this->currentConfig->services.end()
-                            && service->second.kind == BackendKind::Engine;
+        const bool engine = this->runsOnEngine(run.service);
         if (!run.ticket && engine && !run.cancelled) {
             run.cancelled = true;
             this->act(CancelDispatch{running->dispatch});
--- a/src/core/node_config.cpp
+++ b/src/core/node_config.cpp
@@ -2,8 +2,6 @@
 #include "banyanring/core/invariant_func.h"
 #include "banyanring/core/node_base.h"
 
-#include <algorithm>
-
 namespace banyanring {
 
 auto Node::on(const ConfigRead &event) -> void
@@ -18,16 +16,7 @@
     this->tokens.takeConfig(*event.config, list, this->now);
     this->slots.takeConfig(event.config, list);
     this->health.takeConfig(*event.config);
-    this->watchedKeys.clear();
-    std::vector<std::uint64_t> keys;
-    for (const auto &[id, server] : event.config->servers) {
-        this->watchedKeys.push_back(id);
-    }
-    std::sort(this->watchedKeys.begin(), this->watchedKeys.end());
-    for (const auto id : this->watchedKeys) {
-        keys.push_back(mix64(id));
-    }
-    this->watchers.setKeys(std::move(keys));
+    this->behindSince.reset();
     this->stopWithdrawn();
     for (const auto &[service, unused] : event.config->services) {
         this->pump(service);
@@ -40,8 +29,8 @@
     for (const auto &[id, call] : this->calls) {
         const bool keyGone =
             this->organisationOf(call.request.keyDigest).value_or(0) != call.organisation;
-        const bool serviceGone = !this->currentConfig->services.contains(call.service);
-        if (keyGone || serviceGone) {
+        const bool routeGone = !this->currentConfig->routes.contains(call.request.path);
+        if (keyGone || routeGone) {
             withdrawn.push_back(id);
         }
     }
@@ -55,7 +44,7 @@
             outcome = Outcome::Unknown;
             auto &run = this->runs.at(running->dispatch);
             run.call.reset();
-            if (!run.ticket && !run.cancelled) {
+            if (!run.ticket && !run.cancelled && this->runsOnEngine(run.service)) {
                 run.cancelled = true;
                 this->act(CancelDispatch{running->dispatch});
             }
@@ -77,8 +66,7 @@
     const auto revision = this->members.list()->revision;
     const bool gap = this->members.lastListHadGap();
     this->tokens.takeNodes(nodes, revision, gap);
-    this->slots.takeNodes(nodes, revision, gap);
-    this->watchers.setNodes(nodes);
+    this->slots.takeNodes(nodes, revision, gap, this->members.coversEarlier(revision));
 }
 
 } // namespace banyanring
--- a/src/core/node_dispatch.cpp
+++ b/src/core/node_dispatch.cpp
@@ -15,10 +15,10 @@
 constexpr double ShortTokens = 64; ///< Estimate for the rating of a lent slot.
 constexpr std::uint16_t MaxLoanSlots = 16; ///< Slots asked for at once.
 constexpr std::size_t KeepFree = 1; ///< Free slots that a lender keeps.
+constexpr Duration WriteWindow = std::chrono::seconds(1); ///< From decision to first byte.
 constexpr Duration AskInterval = std::chrono::milliseconds(20); ///< Between asks for a service.
 constexpr Duration RefusalKeep = std::chrono::milliseconds(500); ///< A peer without free slots.
 constexpr Duration CrashResend = std::chrono::milliseconds(200); ///< Between crash notices.
-constexpr Duration NoticeKeep = std::chrono::seconds(5); ///< Changes are told this long.
 
 } // namespace
 
@@ -43,7 +43,7 @@
 
 auto Node::pump(ServiceId service) -> void
 {
-    if (!this->currentConfig || !this->members.list()) {
+    if (!this->ready()) {
         return;
     }
     auto &state = this->services[service];
@@ -76,7 +76,11 @@
         this->gather(call.id);
         return true;
     }
-    this->startRun(call, *choice, std::min(choice->until, spendUntil.value_or(Never)));
+    const auto &server = this->currentConfig->servers.at(choice->slot.server);
+    const auto warmUntil =
+        choice->slot.index < server.coldSlots ? Never : this->health.warmUntil(server.id);
+    const auto until = std::min({choice->until, spendUntil.value_or(Never), warmUntil});
+    this->startRun(call, *choice, std::min(until, this->now + WriteWindow));
     return true;
 }
 
@@ -116,7 +120,6 @@
     run.service = call.service;
     run.organisation = call.organisation;
     run.fingerprint = call.fingerprint;
-    run.serverStart = this->health.state(choice.slot.server).startedAt;
     run.isLong = call.isLong;
     run.probation = call.probation;
     run.ticket = call.ticket;
@@ -341,9 +344,11 @@
 auto Node::crashed(const Run &run, std::vector<CallId> callers) -> void
 {
     const auto server = run.choice.slot.server;
-    this->suspects.add(run.fingerprint, server, run.serverStart, this->now);
     HeldFailure held;
-    held.notice = {this->nextNotice++, run.fingerprint, server, run.serverStart};
+    const auto notice = this->nextNotice++;
+    held.notice = {notice, run.fingerprint, server,
+                   mix64(mix64(this->incarnation) + this->self) + notice};
+    this->learnCrash(held.notice);
     held.limit = this->now + this->settings.crashAckLimit;
     held.resendAt = this->now + CrashResend;
     for (const auto *peer : this->members.contacts(this->now)) {
@@ -392,20 +397,8 @@
         return;
     }
     const auto before = this->health.state(event.server);
-    const bool changed = this->health.takeReport(event.server, event.startedAt, event.cold,
-                                                 event.running, this->now - event.age, this->now);
+    const bool changed = this->health.takeReport(event, this->now);
     this->slots.takeReport(event, this->now);
-    const auto &state = this->health.state(event.server);
-    const bool tell =
-        event.startedAt != 0 && (changed || state.cold || this->now - state.changedAt < NoticeKeep);
-    if (tell && !state.suspected) {
-        const ColdNotice notice{event.server, state.startedAt, state.cold};
-        for (const auto node : this->slots.holders(event.server)) {
-            if (node != this->self && node != 0) {
-                this->send(node, notice);
-            }
-        }
-    }
     if (changed || before.running > event.running) {
         this->pump(config->servers.at(event.server).service);
     }
@@ -413,24 +406,8 @@
 
 auto Node::pollTargets() const -> std::vector<ServerId>
 {
-    std::set<ServerId> targets;
-    const auto held = this->slots.servers();
-    for (std::size_t index = 0; index < this->watchedKeys.size(); ++index) {
-        const auto server = this->watchedKeys[index];
-        const auto watcher = this->watchers.holder(index);
-        if (watcher == this->self) {
-            targets.insert(server);
-            continue;
-        }
-        if (!held.contains(server)) {
-            continue;
-        }
-        const auto state = this->health.state(server);
-        if (!state.known || state.suspected || !this->members.inContact(watcher, this->now)) {
-            targets.insert(server);
-        }
-    }
-    return {targets.begin(), targets.end()};
+    const auto servers = this->slots.servers();
+    return {servers.begin(), servers.end()};
 }
 
 } // namespace banyanring
--- a/src/core/node_peers.cpp
+++ b/src/core/node_peers.cpp
@@ -3,6 +3,12 @@
 
 namespace banyanring {
 
+namespace {
+
+constexpr int GossipLapses = 3; ///< News of a crash is passed on for so many lapse times.
+
+} // namespace
+
 auto Node::send(NodeId to, PeerMessage message) -> void
 {
     this->act(SendPeer{to, std::move(message)});
@@ -18,10 +24,9 @@
 
 auto Node::on(NodeId from, const GossipPull &message) -> void
 {
-    auto reply = this->members.answerPull(message, this->random, this->now);
-    if (message.self.listRevision == 0) {
-        reply.crashNotices = this->suspects.notices();
-    }
+    auto reply = this->members.answerPull(from, message, this->random, this->now);
+    reply.crashNotices = this->suspects.notices(
+        message.young ? Instant{} : this->now - this->settings.lapse * GossipLapses);
     this->send(from, std::move(reply));
 }
 
@@ -29,7 +34,28 @@
 {
     this->members.takeReply(message, this->now);
     for (const auto &notice : message.crashNotices) {
-        this->suspects.add(notice.fingerprint, notice.server, notice.startedAt, this->now);
+        this->learnCrash(notice);
+    }
+}
+
+auto Node::learnCrash(const CrashNotice &notice) -> void
+{
+    if (!this->suspects.add(notice.fingerprint, notice.server, notice.death, this->now)) {
+        return;
+    }
+    this->health.suspect(notice.server, this->now);
+    // Copies of it that wait here would be the next to kill a server.
+    const bool last = this->suspects.deaths(notice.fingerprint) >= 2;
+    std::vector<CallId> doomed;
+    for (const auto &[id, call] : this->calls) {
+        const bool waits = std::holds_alternative<Queued>(call.state)
+                           || std::holds_alternative<Gathering>(call.state);
+        if (waits && call.fingerprint == notice.fingerprint && (last || !call.probation)) {
+            doomed.push_back(id);
+        }
+    }
+    for (const auto id : doomed) {
+        this->refuse(id, {Outcome::NotRun, Reason::Suspect, std::chrono::seconds(1)});
     }
 }
 
@@ -76,21 +102,8 @@
 
 auto Node::on(NodeId from, const CrashNotice &message) -> void
 {
-    this->suspects.add(message.fingerprint, message.server, message.startedAt, this->now);
-    this->health.suspect(message.server, this->now);
+    this->learnCrash(message);
     this->send(from, CrashNoticeAck{message.notice});
-    // Copies of it that wait here would be the next to kill a server.
-    std::vector<CallId> doomed;
-    for (const auto &[id, call] : this->calls) {
-        const bool waits = std::holds_alternative<Queued>(call.state)
-                           || std::holds_alternative<Gathering>(call.state);
-        if (waits && call.fingerprint == message.fingerprint && !call.probation) {
-            doomed.push_back(id);
-        }
-    }
-    for (const auto id : doomed) {
-        this->refuse(id, {Outcome::NotRun, Reason::Suspect, std::chrono::seconds(1)});
-    }
 }
 
 auto Node::on(NodeId from, const CrashNoticeAck &message) -> void
@@ -103,11 +116,4 @@
     this->resendCrashes();
 }
 
-auto Node::on(NodeId, const ColdNotice &message) -> void
-{
-    if (this->currentConfig && this->currentConfig->servers.contains(message.server)) {
-        this->health.takeNotice(message, this->now);
-    }
-}
-
 } // namespace banyanring
--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -14,57 +14,36 @@
 
 } // namespace
 
-auto ServerHealth::takeReport(ServerId server, std::uint64_t startedAt, bool cold,
-                              std::uint32_t running, Instant sampledAt, Instant now) -> bool
+auto ServerHealth::takeReport(const BackendReport &report, Instant now) -> bool
 {
-    auto &state = this->states[server];
-    if (startedAt == 0) {
+    auto &state = this->states[report.server];
+    if (report.startedAt == 0) {
         const bool changed = state.reachable;
         state.reachable = false;
         state.suspected = true;
         state.suspectedAt = now;
         return changed;
     }
-    if (startedAt < state.startedAt || (state.suspected && sampledAt <= state.suspectedAt)) {
+    const bool beforeSign = state.suspected && now - report.age <= state.suspectedAt;
+    if (report.startedAt < state.startedAt || beforeSign) {
         return false;
     }
-    const bool restarted = startedAt > state.startedAt;
-    const bool changed = !state.known || restarted || cold != state.cold || !state.reachable;
-    if (!cold && (restarted || state.cold || !state.known)) {
+    const bool restarted = report.startedAt > state.startedAt;
+    const bool changed = !state.known || restarted || report.cold != state.cold || !state.reachable;
+    if (!report.cold && (restarted || state.cold || !state.known)) {
         state.warmSince = now;
     }
-    state.startedAt = startedAt;
+    state.startedAt = report.startedAt;
     state.known = true;
-    state.cold = cold;
+    state.cold = report.cold;
     state.reachable = true;
     state.suspected = false;
-    state.running = running;
-    if (changed) {
-        state.changedAt = now;
-    }
+    state.running = report.running;
+    state.confirmedUntil =
+        std::max(state.confirmedUntil, now - report.readAge + this->settings.reportFresh);
     return changed;
 }
 
-auto ServerHealth::takeNotice(const ColdNotice &notice, Instant now) -> void
-{
-    auto &state = this->states[notice.server];
-    if (notice.startedAt < state.startedAt) {
-        return;
-    }
-    const bool restarted = notice.startedAt > state.startedAt;
-    if (!restarted && (state.suspected || (state.known && !state.cold))) {
-        return; // Only an own, later report ends a suspicion; a start turns warm once.
-    }
-    if (!notice.cold && (state.cold || restarted)) {
-        state.warmSince = now;
-    }
-    state.startedAt = notice.startedAt;
-    state.known = true;
-    state.cold = notice.cold;
-    state.reachable = true;
-    state.suspected = state.suspected && !restarted;
-}
-
 auto ServerHealth::suspect(ServerId server, Instant now) -> void
 {
     auto &state = this->states[server];
@@ -90,8 +69,11 @@
     if (!state.reachable && now - state.suspectedAt < UnreachableRetry) {
         return 0;
     }
-    if (!state.known || state.cold || state.suspected) {
-        return std::min(server.coldSlots, server.slots);
+    const bool fresh = now < state.confirmedUntil;
+    if (!state.known || state.cold || state.suspected || !fresh) {
+        // Requests from before the restart was known may fill it beyond its cold slots.
+        const bool full = fresh && state.cold && state.running >= server.coldSlots;
+        return full ? 0 : std::min(server.coldSlots, server.slots);
     }
     const auto steps =
         std::clamp<std::int64_t>((now - state.warmSince) / RampStep, 0, MaxRampSteps);
@@ -100,6 +82,11 @@
     return static_cast<std::uint16_t>(std::min<std::uint64_t>(server.slots, ramp));
 }
 
+auto ServerHealth::warmUntil(ServerId server) const -> Instant
+{
+    return this->state(server).confirmedUntil;
+}
+
 auto ServerHealth::state(ServerId server) const -> State
 {
     const auto found = this->states.find(server);
--- a/src/core/slot_loans.cpp
+++ b/src/core/slot_loans.cpp
@@ -20,7 +20,7 @@
     std::map<NodeId, SlotQuery> byNode;
     for (const auto &[ref, slot] : this->slots) {
         NodeId node = 0;
-        CountedSlot counted{ref, 0};
+        CountedSlot counted{ref, 0, slot.heldSince};
         if (const auto *lent = std::get_if<Lent>(&slot.state)) {
             node = now >= lent->until ? lent->borrower : 0;
             counted.loan = lent->loan;
@@ -53,8 +53,9 @@
 {
     const auto used = this->borrowed.find(counted.slot);
     if (counted.loan == 0) {
-        return this->cleared.contains(counted.slot) && !this->slots.contains(counted.slot)
-               && used == this->borrowed.end();
+        const auto cleared = this->cleared.find(counted.slot);
+        return cleared != this->cleared.end() && cleared->second == counted.since
+               && !this->slots.contains(counted.slot) && used == this->borrowed.end();
     }
     if (counted.loan >> 32U != this->loanBase) {
         return false; // An earlier incarnation borrowed it, and its request may still run.
--- a/src/core/slot_rights.cpp
+++ b/src/core/slot_rights.cpp
@@ -11,10 +11,10 @@
 constexpr std::uint64_t SlotKeySpace = 0x736c6f74ULL; ///< Keeps keys apart from tokens' keys.
 constexpr Duration ReportMargin = std::chrono::seconds(1); ///< A dispatch reaches its server in it.
 
-/** @return The rendezvous key of a slot. */
-auto slotKey(SlotRef ref) -> std::uint64_t
+/** @return The rendezvous key of a slot; the slots of a block have the same one. */
+auto slotKey(SlotRef ref, std::uint32_t block) -> std::uint64_t
 {
-    return mix64((std::uint64_t{ref.server} << 16U | ref.index) ^ SlotKeySpace);
+    return mix64((std::uint64_t{ref.server} << 16U | ref.index / block) ^ SlotKeySpace);
 }
 
 } // namespace
@@ -49,19 +49,20 @@
     }
 }
 
-auto SlotRights::lose(SlotRef ref) -> void
+auto SlotRights::lose(SlotRef ref, Revision list) -> void
 {
     const auto slot = this->slots.find(ref);
     if (slot == this->slots.end()) {
         return;
     }
     slot->second.held = false;
+    slot->second.lostWith = list;
     const auto &state = slot->second.state;
     if (std::holds_alternative<Running>(state) || std::holds_alternative<Lent>(state)) {
         return;
     }
     if (std::holds_alternative<Free>(state)) {
-        this->cleared.insert(ref);
+        this->cleared[ref] = list;
     }
     this->slots.erase(slot);
 }
@@ -72,7 +73,7 @@
         this->changeState(slot, Free{});
         return;
     }
-    this->cleared.insert(ref);
+    this->cleared[ref] = slot.lostWith;
     this->slots.erase(ref);
 }
 
@@ -95,13 +96,10 @@
     }
     std::sort(order.begin(), order.end());
     std::vector<SlotRef> newRefs;
-    this->ranges.clear();
     for (const auto id : order) {
-        const auto first = newRefs.size();
         for (std::uint16_t index = 0; index < newConfig->servers.at(id).slots; ++index) {
             newRefs.push_back({id, index});
         }
-        this->ranges[id] = {first, newRefs.size()};
     }
     if (newRefs == this->refs) {
         return;
@@ -110,7 +108,7 @@
     std::vector<std::uint64_t> keys;
     keys.reserve(this->refs.size());
     for (const auto ref : this->refs) {
-        keys.push_back(slotKey(ref));
+        keys.push_back(slotKey(ref, this->settings.slotBlock));
     }
     this->holderMap.setKeys(std::move(keys));
     std::set<SlotRef> own;
@@ -126,7 +124,7 @@
         }
     }
     for (const auto ref : lost) {
-        this->lose(ref);
+        this->lose(ref, list);
     }
     for (const auto ref : own) {
         const auto slot = this->slots.find(ref);
@@ -137,14 +135,15 @@
     this->rebuildIndex();
 }
 
-auto SlotRights::takeNodes(const std::vector<NodeId> &nodes, Revision list, bool allMoved) -> void
+auto SlotRights::takeNodes(const std::vector<NodeId> &nodes, Revision list, bool allMoved,
+                           bool askEarlier) -> void
 {
     for (const auto &change : this->holderMap.setNodes(nodes)) {
         const auto ref = this->refs[change.key];
         if (change.to == this->self) {
-            this->acquire(ref, list, change.from);
+            this->acquire(ref, list, askEarlier ? change.from : NodeId{0});
         } else if (change.from == this->self) {
-            this->lose(ref);
+            this->lose(ref, list);
         }
     }
     if (allMoved) {
@@ -299,25 +298,6 @@
     return count;
 }
 
-auto SlotRights::holders(ServerId server) const -> std::set<NodeId>
-{
-    std::set<NodeId> result;
-    const auto range = this->ranges.find(server);
-    if (range == this->ranges.end()) {
-        return result;
-    }
-    for (auto index = range->second.first; index < range->second.second; ++index) {
-        result.insert(this->holderMap.holder(index));
-    }
-    const auto first = this->slots.lower_bound({server, 0});
-    for (auto slot = first; slot != this->slots.end() && slot->first.server == server; ++slot) {
-        if (const auto *lent = std::get_if<Lent>(&slot->second.state)) {
-            result.insert(lent->borrower);
-        }
-    }
-    return result;
-}
-
 auto SlotRights::servers() const -> std::set<ServerId>
 {
     std::set<ServerId> result;
--- a/src/core/suspect_table.cpp
+++ b/src/core/suspect_table.cpp
@@ -6,18 +6,22 @@
 namespace {
 
 constexpr std::size_t MaxSuspects = 10000; ///< Fingerprints remembered.
+constexpr std::size_t MaxNotices = 200; ///< Deaths told in one message.
 
 } // namespace
 
-auto SuspectTable::add(std::uint64_t fingerprint, ServerId server, std::uint64_t startedAt,
-                       Instant now) -> void
+auto SuspectTable::add(std::uint64_t fingerprint, ServerId server, std::uint64_t death, Instant now)
+    -> bool
 {
     if (this->suspects.size() >= MaxSuspects && !this->suspects.contains(fingerprint)) {
-        return;
+        return false;
     }
     auto &suspect = this->suspects[fingerprint];
-    suspect.deaths.emplace(server, startedAt);
-    suspect.lastAt = now;
+    const bool news = suspect.deaths.emplace(death, server).second;
+    if (news) {
+        suspect.lastAt = now;
+    }
+    return news;
 }
 
 auto SuspectTable::deaths(std::uint64_t fingerprint) const -> std::size_t
@@ -26,12 +30,15 @@
     return suspect == this->suspects.end() ? 0 : suspect->second.deaths.size();
 }
 
-auto SuspectTable::notices() const -> std::vector<CrashNotice>
+auto SuspectTable::notices(Instant since) const -> std::vector<CrashNotice>
 {
     std::vector<CrashNotice> result;
     for (const auto &[fingerprint, suspect] : this->suspects) {
-        for (const auto &[server, startedAt] : suspect.deaths) {
-            result.push_back({0, fingerprint, server, startedAt});
+        if (suspect.lastAt < since || result.size() >= MaxNotices) {
+            continue;
+        }
+        for (const auto &[death, server] : suspect.deaths) {
+            result.push_back({0, fingerprint, server, death});
         }
     }
     return result;
--- a/src/core/token_rights.cpp
+++ b/src/core/token_rights.cpp
@@ -204,7 +204,7 @@
                                  Instant now) const -> std::optional<Instant>
 {
     const auto anchor = members.anchor(now);
-    auto until = members.anchorUntil();
+    auto until = Never;
     for (const auto &piece : hold.pieces) {
         if (piece.loan != 0) {
             if (now >= piece.until) {
@@ -217,6 +217,7 @@
         if (part == this->buckets.end() || !this->usable(part->second, anchor)) {
             return std::nullopt;
         }
+        until = std::min(until, members.anchorUntil());
     }
     return until;
 }
--- a/tests/process/fleet.py
+++ b/tests/process/fleet.py
@@ -62,7 +62,7 @@
         self.processes = {}
         self.revision = {"config": 0, "vms": 0}
         self.settings = {"lapse_ms": 800, "pull_ms": 60, "token_loan_ms": 600, "slot_loan_ms": 600,
-                         "poll_ms": 200, "address_keep_ms": 500, "drain_ms": 700, "ticket_ms": 4000,
+                         "poll_ms": 200, "report_fresh_ms": 1500, "address_keep_ms": 500, "drain_ms": 700, "ticket_ms": 4000,
                          **(settings or {})}
         ports = free_ports(1 + 3 * nodes + engines + plains)
         self.platform = f"127.0.0.1:{ports.pop()}"
