--- a/include/banyanring/adapters/backend_caller.h
+++ b/include/banyanring/adapters/backend_caller.h
@@ -3,8 +3,10 @@
 
 #include "banyanring/adapters/caller_listener.h"
 
+#include <atomic>
 #include <cpprest/http_client.h>
 #include <mutex>
+#include <thread>
 #include <unordered_map>
 
 namespace banyanring {
@@ -16,8 +18,12 @@
     /**
      * @param callers The open calls.
      * @param inbox Gets the events.
+     * @param progressLimit An engine that sends nothing for this long is broken off.
      */
-    BackendCaller(CallerListener &callers, Inbox &inbox);
+    BackendCaller(CallerListener &callers, Inbox &inbox, Duration progressLimit);
+    ~BackendCaller();
+    BackendCaller(const BackendCaller &) = delete;
+    auto operator=(const BackendCaller &) -> BackendCaller & = delete;
 
     /** @param action Sends a request to a backend server. */
     auto dispatch(const Dispatch &action) -> void;
@@ -38,6 +44,7 @@
         std::string contentType;
         int status = 0;
         std::uint32_t chunks = 0;
+        std::atomic<std::int64_t> progressAt = 0; ///< Microseconds of the boot clock.
         bool toCaller = false;
         std::vector<std::uint8_t> buffer;
     };
@@ -49,11 +56,15 @@
     auto finish(const FlightPtr &flight) -> void;
     auto fail(const FlightPtr &flight, std::exception_ptr error) -> void;
     auto forget(DispatchId id) -> void;
+    auto watchProgress() -> void;
 
     CallerListener &callers;
     Inbox &inbox;
+    Duration progressLimit;
     std::mutex mutex;
     std::unordered_map<DispatchId, FlightPtr> flights;
+    std::atomic<bool> stopping = false;
+    std::thread watcher;
 };
 
 } // namespace banyanring
--- a/include/banyanring/adapters/settings_type.h
+++ b/include/banyanring/adapters/settings_type.h
@@ -43,6 +43,7 @@
     std::int64_t decisionCount = 0;
     std::int64_t longSharePercent = 0;
     std::int64_t pollMs = 0;
+    std::int64_t progressMs = 0;
     std::int64_t bodyKb = 0;
     std::int64_t callCount = 0;
     std::int64_t httpThreads = 0;
--- a/include/banyanring/core/node_base.h
+++ b/include/banyanring/core/node_base.h
@@ -298,6 +298,7 @@
     auto expireCalls() -> void;
     auto expireRuns() -> void;
     auto fetchNewer() -> void;
+    auto pastGrace() const -> bool;
     auto act(Action action) -> void
     {
         this->actions.push_back(std::move(action));
--- a/src/adapters/backend_caller.cpp
+++ b/src/adapters/backend_caller.cpp
@@ -12,6 +12,7 @@
 using web::http::http_response;
 using web::http::client::http_client;
 
+constexpr std::chrono::milliseconds WatchStep{100}; ///< Between looks for silent engines.
 constexpr std::size_t ChunkBytes = 16384; ///< Most bytes of one read.
 constexpr std::size_t MaxAnswerBytes = 32U << 20U; ///< A longer answer is broken off.
 constexpr std::chrono::seconds ForwardTimeout{300}; ///< For a peer's answer.
@@ -51,8 +52,38 @@
 
 } // namespace
 
-BackendCaller::BackendCaller(CallerListener &callers, Inbox &inbox) : callers(callers), inbox(inbox)
+BackendCaller::BackendCaller(CallerListener &callers, Inbox &inbox, Duration progressLimit)
+    : callers(callers), inbox(inbox), progressLimit(progressLimit)
 {
+    this->watcher = std::thread([this] { this->watchProgress(); });
+}
+
+BackendCaller::~BackendCaller()
+{
+    this->stopping = true;
+    this->watcher.join();
+}
+
+auto BackendCaller::watchProgress() -> void
+{
+    while (!this->stopping) {
+        std::this_thread::sleep_for(WatchStep);
+        std::vector<FlightPtr> silent;
+        {
+            const std::scoped_lock lock(this->mutex);
+            const auto oldest = (bootNow() - this->progressLimit).count();
+            for (const auto &[id, flight] : this->flights) {
+                if (flight->action.kind == BackendKind::Engine && flight->progressAt < oldest) {
+                    silent.push_back(flight);
+                }
+            }
+        }
+        for (const auto &flight : silent) {
+            logEvent("silent_engine", {{"request_id", flight->action.requestId},
+                                       {"address", flight->action.address}});
+            flight->cancelSource.cancel();
+        }
+    }
 }
 
 auto BackendCaller::forget(DispatchId id) -> void
@@ -84,6 +115,7 @@
     }
     auto flight = std::make_shared<Flight>();
     flight->action = action;
+    flight->progressAt = bootNow().count();
     flight->buffer.resize(ChunkBytes);
     {
         const std::scoped_lock lock(this->mutex);
@@ -160,6 +192,7 @@
 {
     const std::string_view bytes(reinterpret_cast<const char *>(flight->buffer.data()), count);
     ++flight->chunks;
+    flight->progressAt = bootNow().count();
     const bool keep = flight->action.kind == BackendKind::Plain || flight->action.keepBody;
     if (keep && flight->kept.size() + count > MaxAnswerBytes) {
         throw std::runtime_error("answer too long");
--- a/src/adapters/settings_table.cpp
+++ b/src/adapters/settings_table.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::int64_t Hour = 3600 * 1000; ///< In milliseconds.
 
-const std::array<SettingRow, 33> Table{{
+const std::array<SettingRow, 34> Table{{
     {"node", &Settings::node, 1, 65535, "", "number", "Number of this VM in the published list"},
     {"entry_listen", &Settings::entryListen, 0, 0, "", "host:port", "Where callers connect"},
     {"peer_listen", &Settings::peerListen, 0, 0, "", "host:port", "Where peers connect"},
@@ -64,6 +64,8 @@
     {"long_share_percent", &Settings::longSharePercent, 1, 100, "70", "%",
      "Share of slots that long requests may take"},
     {"poll_ms", &Settings::pollMs, 50, 60000, "1000", "ms", "Time between reads of a load report"},
+    {"progress_ms", &Settings::progressMs, 100, Hour, "15000", "ms",
+     "An engine that sends nothing for this long is broken off"},
     {"body_kb", &Settings::bodyKb, 1, 65536, "1024", "KB", "Largest request body"},
     {"call_count", &Settings::callCount, 1, 1000000, "4096", "calls", "Most open calls"},
     {"http_threads", &Settings::httpThreads, 2, 256, "8", "threads", "Threads of the HTTP library"},
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -109,14 +109,18 @@
         }
     }
     const bool idle = this->calls.empty() && this->runs.empty() && this->heldFailures.empty();
-    if (this->stopAt && !this->drained && idle
-        && this->now >= *this->stopAt + this->settings.drainGrace
-        && this->now >= this->tickets.lastExpiry()) {
+    if (this->pastGrace() && !this->drained && idle && this->now >= this->tickets.lastExpiry()) {
         this->drained = true;
         this->act(Drained{});
     }
 }
 
+auto Node::pastGrace() const -> bool
+{
+    // Callers keep an address answer for a while: until then a stopping node goes on as before.
+    return this->stopAt && this->now >= *this->stopAt + this->settings.drainGrace;
+}
+
 auto Node::fetchNewer() -> void
 {
     if (this->now < this->nextFetch) {
--- a/src/core/node_admit.cpp
+++ b/src/core/node_admit.cpp
@@ -116,9 +116,7 @@
     if (!this->admitTicket(call, route->second)) {
         return;
     }
-    const bool refuseArrivals =
-        this->stopAt && this->now >= *this->stopAt + this->settings.drainGrace;
-    if (refuseArrivals && !call.ticket) {
+    if (this->pastGrace() && !call.ticket) {
         return refuseNow(Reason::Stopping, RetrySoon);
     }
     if (!this->ready()) {
@@ -340,7 +338,7 @@
     if (!this->ready()) {
         return refuseNow(Reason::NotReady, RetrySoon);
     }
-    if (this->stopAt) {
+    if (this->pastGrace()) {
         return refuseNow(Reason::Stopping, RetrySoon);
     }
     const auto route = this->currentConfig->routes.find(event.path);
@@ -403,10 +401,12 @@
     }
     const auto usable = [&](NodeId node) {
         if (node == this->self) {
-            return !this->stopAt;
+            return !this->stopAt && this->ready();
         }
         const auto peer = this->members.peers().find(node);
-        return this->members.inContact(node, this->now) && !peer->second.heartbeat.leaving;
+        // A node that states no list has just started and takes nothing yet.
+        return this->members.inContact(node, this->now) && !peer->second.heartbeat.leaving
+               && peer->second.heartbeat.listRevision != 0;
     };
     GiveAddresses answer;
     answer.call = event.call;
@@ -427,7 +427,8 @@
         }
     }
     if (answer.addresses.empty()) {
-        answer.addresses.push_back(this->addressOf(this->self));
+        this->tell(event.call, {}, {Outcome::NotRun, Reason::NotReady, RetrySoon});
+        return;
     }
     this->act(std::move(answer));
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -52,7 +52,8 @@
                                         static_cast<std::size_t>(settings.callCount)};
     this->callers = std::make_unique<CallerListener>(
         settings.entryListen, requestPrefix(this->identity), limits, this->inbox);
-    this->backends = std::make_unique<BackendCaller>(*this->callers, this->inbox);
+    this->backends = std::make_unique<BackendCaller>(
+        *this->callers, this->inbox, std::chrono::milliseconds(settings.progressMs));
     this->peers = std::make_unique<PeerLink>(
         this->identity.node, settings.peerListen,
         [this](Envelope envelope) { this->receive(std::move(envelope)); });
@@ -70,6 +71,7 @@
     this->reports.reset();
     this->platform.reset();
     this->peers.reset();
+    this->backends.reset();
     this->callers.reset();
 }
 
--- /dev/null
+++ b/src/tool/commands_fleet.cpp
@@ -0,0 +1,200 @@
+/** @file commands_fleet.cpp Commands that ask nodes. */
+#include "commands.h"
+
+#include <cpprest/http_client.h>
+#include <iomanip>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace banyanring::tool {
+
+namespace {
+
+using nlohmann::json;
+using nlohmann::ordered_json;
+using web::http::http_request;
+using web::http::http_response;
+
+constexpr std::chrono::seconds Timeout{60};
+
+/** Makes a call and waits for the answer. */
+auto call(const std::string &address, const http_request &request) -> http_response
+{
+    web::http::client::http_client_config config;
+    config.set_timeout(Timeout);
+    return web::http::client::http_client("http://" + address, config).request(request).get();
+}
+
+/** @return A request with a key. */
+auto keyedRequest(const web::http::method &method, const std::string &path, const std::string &key)
+    -> http_request
+{
+    http_request request(method);
+    request.set_request_uri(path);
+    if (!key.empty()) {
+        request.headers().add("Authorization", "Bearer " + key);
+    }
+    return request;
+}
+
+/** Prints one row of the status table. */
+auto printRow(const std::string &node, const ordered_json &state) -> void
+{
+    const auto &slots = state["slots"];
+    const auto &counters = state["counters"];
+    std::cout << std::left << std::setw(22) << node << std::right << std::setw(5)
+              << state["node"].get<int>() << std::setw(7)
+              << (state["stopping"].get<bool>() ? "stops"
+                  : state["ready"].get<bool>()  ? "yes"
+                                                : "no")
+              << std::setw(8) << state["config_revision"].get<std::uint64_t>() << std::setw(6)
+              << state["vm_list_revision"].get<std::uint64_t>() << std::setw(7)
+              << state["contacts"].size() << std::setw(8) << state["waiting"].get<int>()
+              << std::setw(8) << state["running"].get<int>() << std::setw(6)
+              << slots["free"].get<int>() << std::setw(6) << slots["lent"].get<int>()
+              << std::setw(9) << slots["borrowed"].get<int>() << std::setw(10)
+              << counters["answered"].get<int>() << std::setw(8) << counters["failed"].get<int>()
+              << "\n";
+}
+
+/** Prints the answer and gives the exit status. */
+auto printAnswer(const Arguments &arguments, const http_response &response) -> int
+{
+    const auto body = response.extract_utf8string(true).get();
+    const auto id = response.headers().find("X-Banyan-Request-Id");
+    const auto requestId = id == response.headers().end() ? std::string{} : id->second;
+    if (arguments.json) {
+        std::cout << ordered_json{{"status", response.status_code()},
+                                  {"request_id", requestId},
+                                  {"body", body}}
+                         .dump(2)
+                  << "\n";
+    } else {
+        std::cout << body << "\n";
+        std::cerr << "status " << response.status_code() << ", request " << requestId << "\n";
+    }
+    return response.status_code() == web::http::status_codes::OK ? ExitDone : ExitNot;
+}
+
+} // namespace
+
+auto httpGet(const std::string &address, const std::string &path) -> std::string
+{
+    const auto response = call(address, keyedRequest(web::http::methods::GET, path, {}));
+    auto text = response.extract_utf8string(true).get();
+    if (response.status_code() != web::http::status_codes::OK) {
+        throw std::runtime_error(address + path + ": status "
+                                 + std::to_string(response.status_code()));
+    }
+    return text;
+}
+
+auto runStatus(const Arguments &arguments) -> int
+{
+    if (arguments.words.empty()) {
+        throw UsageError("operator addresses of nodes are needed");
+    }
+    auto all = ordered_json::object();
+    if (!arguments.json) {
+        std::cout << "OPERATOR ADDRESS       NODE  READY  CONFIG  LIST  PEERS WAITING RUNNING  FREE"
+                     "  LENT BORROWED  ANSWERED  FAILED\n";
+    }
+    int result = ExitDone;
+    for (const auto &node : arguments.words) {
+        try {
+            const auto state = ordered_json::parse(httpGet(node, "/debug/state"));
+            all[node] = state;
+            if (!arguments.json) {
+                printRow(node, state);
+            }
+        } catch (const std::exception &error) {
+            result = ExitNoAnswer;
+            all[node] = {{"error", error.what()}};
+            if (!arguments.json) {
+                std::cout << std::left << std::setw(22) << node << " no answer: " << error.what()
+                          << "\n";
+            }
+        }
+    }
+    if (arguments.json) {
+        std::cout << all.dump(2) << "\n";
+    }
+    return result;
+}
+
+auto runDump(const Arguments &arguments) -> int
+{
+    if (arguments.words.size() != 1) {
+        throw UsageError("one operator address is needed");
+    }
+    std::cout << httpGet(arguments.words.front(), "/debug/state");
+    return ExitDone;
+}
+
+auto runExplain(const Arguments &arguments) -> int
+{
+    if (arguments.words.size() < 2) {
+        throw UsageError("a request id and operator addresses are needed");
+    }
+    const auto &id = arguments.words.front();
+    auto all = ordered_json::object();
+    for (std::size_t index = 1; index < arguments.words.size(); ++index) {
+        const auto &node = arguments.words[index];
+        const auto path = "/debug/explain?id=" + web::uri::encode_data_string(id);
+        const auto steps = ordered_json::parse(httpGet(node, path));
+        if (steps.empty()) {
+            continue;
+        }
+        all[node] = steps;
+        if (arguments.json) {
+            continue;
+        }
+        std::cout << "node " << node << ":\n";
+        for (const auto &step : steps) {
+            std::cout << "  +" << std::fixed << std::setprecision(1)
+                      << step["after_ms"].get<double>() << " ms  "
+                      << step["step"].get<std::string>() << "  "
+                      << step["detail"].get<std::string>() << "\n";
+        }
+    }
+    if (arguments.json) {
+        std::cout << all.dump(2) << "\n";
+    } else if (all.empty()) {
+        std::cout << "no node remembers " << id << "\n";
+    }
+    return all.empty() ? ExitNot : ExitDone;
+}
+
+auto runSend(const Arguments &arguments) -> int
+{
+    auto words = arguments.words;
+    const bool wantsTicket = std::erase(words, "--ticket") > 0;
+    if (words.size() != 4) {
+        throw UsageError("an entry address, a path, a key and a body are needed");
+    }
+    const auto &key = words[2];
+    const auto where =
+        json::parse(call(words[0], keyedRequest(web::http::methods::GET, "/v1/address", key))
+                        .extract_utf8string(true)
+                        .get());
+    if (!where.contains("addresses")) {
+        std::cout << where.dump() << "\n";
+        return ExitNot;
+    }
+    const auto entry = where["addresses"].front().get<std::string>();
+    auto request = keyedRequest(web::http::methods::POST, words[1], key);
+    request.set_body(words[3], "application/json");
+    if (wantsTicket) {
+        auto ask = keyedRequest(web::http::methods::POST, "/v1/tickets", key);
+        ask.set_body(json{{"path", words[1]}}.dump(), "application/json");
+        const auto given = json::parse(call(entry, ask).extract_utf8string(true).get());
+        if (!given.contains("ticket")) {
+            std::cout << given.dump() << "\n";
+            return ExitNot;
+        }
+        request.headers().add("X-Banyan-Ticket", given["ticket"].get<std::string>());
+    }
+    return printAnswer(arguments, call(entry, request));
+}
+
+} // namespace banyanring::tool
--- a/src/tool/main.cpp
+++ b/src/tool/main.cpp
@@ -1,8 +1,57 @@
-/** @file main.cpp Entry point of banyanringctl. */
+/** @file main.cpp Entry point of banyanringctl: finds the command and runs it. */
+#include "commands.h"
+
 #include <iostream>
 
-auto main() -> int
+namespace {
+
+using namespace banyanring::tool;
+
+/** Prints every command with its help. */
+auto printHelp(std::ostream &out) -> void
+{
+    out << "banyanringctl COMMAND [ARGUMENT]... [--json]\n\n";
+    for (const auto &command : commandTable()) {
+        out << "  " << command.usage << "\n      " << command.help << "\n";
+    }
+    out << "\nExit status: 0 done, 1 the thing asked about is not so or not there, 2 bad command\n"
+           "line, 3 no answer from a node.\n";
+}
+
+} // namespace
+
+auto main(int argc, char **argv) -> int
 {
-    std::cout << "banyanringctl\n";
-    return 0;
+    std::vector<std::string> words(argv + 1, argv + argc);
+    Arguments arguments;
+    for (auto &word : words) {
+        if (word == "--json") {
+            arguments.json = true;
+        } else {
+            arguments.words.push_back(std::move(word));
+        }
+    }
+    if (arguments.words.empty() || arguments.words.front() == "--help"
+        || arguments.words.front() == "help") {
+        printHelp(std::cout);
+        return arguments.words.empty() ? ExitUsage : ExitDone;
+    }
+    const auto name = arguments.words.front();
+    arguments.words.erase(arguments.words.begin());
+    for (const auto &command : commandTable()) {
+        if (command.name != name) {
+            continue;
+        }
+        try {
+            return command.run(arguments);
+        } catch (const UsageError &error) {
+            std::cerr << "banyanringctl: " << error.what() << "\nusage: " << command.usage << "\n";
+            return ExitUsage;
+        } catch (const std::exception &error) {
+            std::cerr << "banyanringctl: " << error.what() << "\n";
+            return ExitNoAnswer;
+        }
+    }
+    std::cerr << "banyanringctl: no command " << name << "; see banyanringctl help\n";
+    return ExitUsage;
 }
