--- a/include/banyanring/core/config_type.h
+++ b/include/banyanring/core/config_type.h
@@ -35,7 +35,7 @@
     Tier tier = 0; ///< Urgency of its requests.
     bool idempotent = false; ///< May be run again without harm; otherwise a ticket is needed.
     bool open = false; ///< Needs no key.
-    Duration deadline{}; ///< Time a request may wait for its dispatch.
+    Duration deadline{}; ///< Time in which the whole answer is wanted.
 };
 
 /** A customer and its limits. */
--- a/include/banyanring/core/node_base.h
+++ b/include/banyanring/core/node_base.h
@@ -246,6 +246,7 @@
     auto on(const BackendFailed &event) -> void;
     auto on(const BackendReport &event) -> void;
     auto pump(ServiceId service) -> void;
+    auto estimate(ServerId server, double tokens) const -> Duration;
     auto dispatchOne(ServiceId service, ServiceState &state) -> bool;
     auto startRun(Call &call, const SlotChoice &choice, Instant validUntil) -> void;
     auto endRun(DispatchId id) -> Run;
@@ -272,7 +273,7 @@
     // node_crash.cpp
     auto on(NodeId from, const CrashNotice &message) -> void;
     auto on(NodeId from, const CrashNoticeAck &message) -> void;
-    auto crashed(const Run &run, std::vector<CallId> callers) -> void;
+    auto crashed(const Run &run, const std::vector<CallId> &callers) -> void;
     auto reportCrash(ServerId server, std::uint64_t fingerprint) -> HeldFailure &;
     auto blameCancelled(ServerId server) -> void;
     auto mustNotWait(const Call &call) const -> bool;
--- a/include/banyanring/core/slot_rights_base.h
+++ b/include/banyanring/core/slot_rights_base.h
@@ -236,6 +236,15 @@
         std::uint64_t stateQuery = 0; ///< Queries with a smaller token say nothing of this state.
     };
 
+    /** Adjoining slots of a server that have the same natural holder. */
+    struct Block
+    {
+        ServerId server = 0;
+        std::uint16_t first = 0; ///< Least index.
+        std::uint16_t end = 0; ///< Above the greatest index.
+        auto operator==(const Block &) const -> bool = default;
+    };
+
     /** A slot that a peer lent to this node. */
     struct Borrowed
     {
@@ -260,6 +269,7 @@
     auto lose(SlotRef ref, Revision list) -> void;
     auto clear(SlotRef ref, Slot &slot) -> void;
     auto longestRun(ServiceId service) const -> Duration;
+    auto blocksOf(const Config &all) const -> std::vector<Block>;
     auto rebuildIndex() -> void;
 
     const NodeSettings &settings;
@@ -267,7 +277,7 @@
     std::uint32_t loanBase;
     std::uint32_t loanCount = 0;
     ConfigPtr config;
-    std::vector<SlotRef> refs; ///< All slots of the fleet, by key index.
+    std::vector<Block> blocks; ///< All blocks of the fleet, by key index.
     HolderMap holderMap;
     std::map<SlotRef, Slot> slots;
     std::map<SlotRef, Borrowed> borrowed;
--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Randomised runs of whole fleets of cores: soak.sh SECONDS SEED [THREADS]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/setup.sh >/dev/null
+exec build/tests/core_soak --seconds "${1:?seconds}" --seed "${2:?first seed}" --threads "${3:-4}"
--- a/src/adapters/settings_table.cpp
+++ b/src/adapters/settings_table.cpp
@@ -165,7 +165,9 @@
         throw SettingsError(file.string() + ": allowed: an object of settings");
     }
     Settings settings;
-    for (const auto &[name, value] : json.items()) {
+    for (const auto &item : json.items()) {
+        const auto &name = item.key();
+        const auto &value = item.value();
         const auto row = std::find_if(Table.begin(), Table.end(),
                                       [&](const auto &entry) { return entry.name == name; });
         const auto place = file.string() + ":" + std::to_string(lineOf(text, name)) + ": ";
--- a/src/core/node_crash.cpp
+++ b/src/core/node_crash.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-auto Node::crashed(const Run &run, std::vector<CallId> callers) -> void
+auto Node::crashed(const Run &run, const std::vector<CallId> &callers) -> void
 {
     auto &held = this->reportCrash(run.choice.slot.server, run.fingerprint);
     for (const auto caller : callers) {
--- a/src/core/node_dispatch.cpp
+++ b/src/core/node_dispatch.cpp
@@ -53,6 +53,14 @@
     }
 }
 
+auto Node::estimate(ServerId server, double tokens) const -> Duration
+{
+    // Without a measured speed nothing can be said, and the request is given its chance.
+    const auto speed = this->health.state(server).tokensPerSecond;
+    const auto seconds = speed > 0 ? tokens / speed : 0.0;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 auto Node::dispatchOne(ServiceId service, ServiceState &state) -> bool
 {
     const auto total = static_cast<double>(this->slots.totalCount(service));
@@ -69,6 +77,10 @@
         state.queue.putBack(*entry);
         return false;
     }
+    if (this->now + this->estimate(choice->slot.server, entry->tokens) > call.expiresAt) {
+        this->refuse(call.id, {Outcome::NotRun, Reason::Expired, {}});
+        return true;
+    }
     const auto spendUntil = this->tokens.spendableUntil(call.tokens, this->members, this->now);
     if (call.organisation != 0 && !spendUntil) {
         this->tokens.release(call.organisation, call.tokens);
--- a/src/core/slot_loans.cpp
+++ b/src/core/slot_loans.cpp
@@ -208,6 +208,7 @@
         slot = this->borrowed.erase(slot);
     }
     std::vector<std::pair<NodeId, SlotReturn>> result;
+    result.reserve(returns.size());
     for (auto &[key, message] : returns) {
         result.emplace_back(key.first, std::move(message));
     }
--- a/src/core/slot_rights.cpp
+++ b/src/core/slot_rights.cpp
@@ -11,10 +11,10 @@
 constexpr std::uint64_t SlotKeySpace = 0x736c6f74ULL; ///< Keeps keys apart from tokens' keys.
 constexpr Duration ReportMargin = std::chrono::seconds(1); ///< A dispatch reaches its server in it.
 
-/** @return The rendezvous key of a slot; the slots of a block have the same one. */
-auto slotKey(SlotRef ref, std::uint32_t block) -> std::uint64_t
+/** @return The rendezvous key of the block of slots that begins with @p first. */
+auto blockKey(ServerId server, std::uint16_t first) -> std::uint64_t
 {
-    return mix64((std::uint64_t{ref.server} << 16U | ref.index / block) ^ SlotKeySpace);
+    return mix64((std::uint64_t{server} << 16U | first) ^ SlotKeySpace);
 }
 
 } // namespace
@@ -87,34 +87,45 @@
     }
 }
 
-auto SlotRights::takeConfig(const ConfigPtr &newConfig, Revision list) -> void
+auto SlotRights::blocksOf(const Config &all) const -> std::vector<Block>
 {
-    this->config = newConfig;
     std::vector<ServerId> order;
-    for (const auto &[id, server] : newConfig->servers) {
+    for (const auto &[id, server] : all.servers) {
         order.push_back(id);
     }
     std::sort(order.begin(), order.end());
-    std::vector<SlotRef> newRefs;
+    std::vector<Block> result;
     for (const auto id : order) {
-        for (std::uint16_t index = 0; index < newConfig->servers.at(id).slots; ++index) {
-            newRefs.push_back({id, index});
+        const std::uint32_t count = all.servers.at(id).slots;
+        for (std::uint32_t first = 0; first < count; first += this->settings.slotBlock) {
+            const auto end = std::min(count, first + this->settings.slotBlock);
+            result.push_back(
+                {id, static_cast<std::uint16_t>(first), static_cast<std::uint16_t>(end)});
         }
     }
-    if (newRefs == this->refs) {
+    return result;
+}
+
+auto SlotRights::takeConfig(const ConfigPtr &newConfig, Revision list) -> void
+{
+    this->config = newConfig;
+    auto newBlocks = this->blocksOf(*newConfig);
+    if (newBlocks == this->blocks) {
         return;
     }
-    this->refs = std::move(newRefs);
+    this->blocks = std::move(newBlocks);
     std::vector<std::uint64_t> keys;
-    keys.reserve(this->refs.size());
-    for (const auto ref : this->refs) {
-        keys.push_back(slotKey(ref, this->settings.slotBlock));
+    keys.reserve(this->blocks.size());
+    for (const auto &block : this->blocks) {
+        keys.push_back(blockKey(block.server, block.first));
     }
     this->holderMap.setKeys(std::move(keys));
     std::set<SlotRef> own;
-    for (std::size_t index = 0; index < this->refs.size(); ++index) {
-        if (this->holderMap.holder(index) == this->self) {
-            own.insert(this->refs[index]);
+    for (std::size_t index = 0; index < this->blocks.size(); ++index) {
+        const auto &block = this->blocks[index];
+        for (auto slot = block.first;
+             slot < block.end && this->holderMap.holder(index) == this->self; ++slot) {
+            own.insert({block.server, slot});
         }
     }
     std::vector<SlotRef> lost;
@@ -139,11 +150,13 @@
                            bool askEarlier) -> void
 {
     for (const auto &change : this->holderMap.setNodes(nodes)) {
-        const auto ref = this->refs[change.key];
-        if (change.to == this->self) {
-            this->acquire(ref, list, askEarlier ? change.from : NodeId{0});
-        } else if (change.from == this->self) {
-            this->lose(ref, list);
+        const auto &block = this->blocks[change.key];
+        for (auto slot = block.first; slot < block.end; ++slot) {
+            if (change.to == this->self) {
+                this->acquire({block.server, slot}, list, askEarlier ? change.from : NodeId{0});
+            } else if (change.from == this->self) {
+                this->lose({block.server, slot}, list);
+            }
         }
     }
     if (allMoved) {
--- a/src/core/token_rights.cpp
+++ b/src/core/token_rights.cpp
@@ -13,6 +13,7 @@
 constexpr Duration ConfigSpread = std::chrono::seconds(8);
 constexpr std::uint64_t TokenKeySpace = 0x746f6b656eULL; ///< Keeps keys apart from slots' keys.
 constexpr Duration SpareMargin = std::chrono::milliseconds(500); ///< Not reserved so near its end.
+constexpr double MaxParts = 1024; ///< A part's number has 16 bits.
 constexpr double Epsilon = 1e-9; ///< Tokens that count as none.
 
 /** @return The id of part @p number of @p organisation; an organisation's parts adjoin. */
@@ -27,7 +28,7 @@
     const auto byRate = std::ceil(organisation.rate / settings.partRate);
     const auto byBurst = std::floor(organisation.burst / settings.minPartBurst);
     const auto wanted = std::max(byRate, static_cast<double>(settings.minParts));
-    return static_cast<std::size_t>(std::max(1.0, std::min(wanted, byBurst)));
+    return static_cast<std::size_t>(std::clamp(std::min(wanted, byBurst), 1.0, MaxParts));
 }
 
 } // namespace
@@ -95,7 +96,7 @@
         }
         const auto [rate, burst] = this->sizeOf(part);
         old->second.bucket.setLimits(rate, burst, now);
-        this->buckets.emplace(part, std::move(old->second));
+        this->buckets.emplace(part, old->second);
     }
 }
 
--- a/tests/core/soak.cpp
+++ b/tests/core/soak.cpp
@@ -26,6 +26,7 @@
     settings.slots = static_cast<std::uint16_t>(4 + random() % 8);
     settings.loss = static_cast<double>(random() % 30) / 1000;
     settings.faultsPerMinute = 5 + static_cast<double>(random() % 50);
+    settings.steered = random() % 2 == 0;
     settings.killer = random() % 2 == 0;
     settings.node.waitRoom = 10 + random() % 100;
     return settings;
