Gossip within budget at 350 nodes; bounded choice of slots; a lone VM serves

Cause: heartbeats named each busy service (12.7 KB/s a node at 81 nodes) and were a plain sample, so at 350 nodes no majority was heard in time. Who holds a service's slots follows from the list, so busy flags go; half of a reply is the freshest heartbeats. A VM alone in its list never looked at its majority again. Choosing a slot looked at every free one. Ruled out: longer lapses alone; the flags kept the bytes over budget.

--- a/include/banyanring/core/membership_base.h
+++ b/include/banyanring/core/membership_base.h
@@ -73,6 +73,15 @@
      */
     auto takeReply(const GossipReply &reply, Instant now) -> void;
 
+    /**
+     * Looks again at what holds; a VM that is alone in its list hears of nobody.
+     * @param now The present.
+     */
+    auto refresh(Instant now) -> void
+    {
+        this->recompute(now);
+    }
+
     /**
      * Gives the newest list revision under which rights may be used now. A right may be used if it
      * has been this node's under every list since, that one included.
--- a/include/banyanring/core/message_type.h
+++ b/include/banyanring/core/message_type.h
@@ -14,7 +14,6 @@
     ServiceId service = 0;
     Tier wishedFloor = TierCount; ///< Tiers at or above this number should be shed everywhere.
     Tier enforcedFloor = TierCount; ///< Tiers at or above this number are shed at the node.
-    bool busy = false; ///< The node has no free slot of the service.
 };
 
 /** What a node states of itself, passed on by others. */
--- a/include/banyanring/core/slot_rights_base.h
+++ b/include/banyanring/core/slot_rights_base.h
@@ -61,7 +61,7 @@
     auto tick(const Membership &members, Instant now) -> void;
 
     /**
-     * Chooses the best free slot of a service.
+     * Chooses a free slot of a service: the best of a bounded number of usable ones.
      * @param service The service.
      * @param score Rates each candidate.
      * @param members Says which rights may be used.
@@ -164,18 +164,18 @@
     auto idleReturns(Instant now) -> std::vector<std::pair<NodeId, SlotReturn>>;
 
     /**
-     * Counts free slots of a service, own and borrowed, with no regard to health.
+     * Counts slots of a service, own and borrowed.
      * @param service The service.
      * @return The count.
      */
-    auto freeCount(ServiceId service) const -> std::size_t;
+    auto totalCount(ServiceId service) const -> std::size_t;
 
     /**
-     * Counts slots of a service, own and borrowed.
+     * Lists the other nodes that are natural holders of a service's slots.
      * @param service The service.
-     * @return The count.
+     * @return The nodes.
      */
-    auto totalCount(ServiceId service) const -> std::size_t;
+    auto lenders(ServiceId service) const -> const std::vector<NodeId> &;
 
     /** @return Servers of which this node holds or borrows a slot. */
     auto servers() const -> std::set<ServerId>;
@@ -233,6 +233,7 @@
         Revision lostWith = 0; ///< List that moved it away.
         bool held = true; ///< False once it moved away.
         SlotState state = Awaiting{};
+        std::size_t freeIndex = 0; ///< Place in the list of free slots, while free.
         std::uint64_t stateQuery = 0; ///< Queries with a smaller token say nothing of this state.
     };
 
@@ -264,7 +265,8 @@
     };
 
     auto released(const CountedSlot &counted, Instant now) const -> bool;
-    auto changeState(Slot &slot, SlotState state) -> void;
+    auto changeState(SlotRef ref, Slot &slot, SlotState state) -> void;
+    auto dropFree(const Slot &slot) -> void;
     auto acquire(SlotRef ref, Revision list, NodeId from) -> void;
     auto lose(SlotRef ref, Revision list) -> void;
     auto clear(SlotRef ref, Slot &slot) -> void;
@@ -280,6 +282,8 @@
     std::vector<Block> blocks; ///< All blocks of the fleet, by key index.
     HolderMap holderMap;
     std::map<SlotRef, Slot> slots;
+    std::unordered_map<ServiceId, std::vector<SlotRef>> freeByService;
+    std::unordered_map<ServiceId, std::vector<NodeId>> lendersByService;
     std::map<SlotRef, Borrowed> borrowed;
     std::unordered_map<ServiceId, std::vector<SlotRef>> byService; ///< Held slots.
     /** Slots that moved away, free of this node's requests and those before, by the list. */
--- a/src/adapters/peer_codec.cpp
+++ b/src/adapters/peer_codec.cpp
@@ -17,7 +17,7 @@
 auto fields(auto &m) -> auto requires
     std::same_as<std::remove_const_t<std::remove_reference_t<decltype(m)>>, ServicePressure>
 {
-    return std::tie(m.service, m.wishedFloor, m.enforcedFloor, m.busy);
+    return std::tie(m.service, m.wishedFloor, m.enforcedFloor);
 }
 
 template <typename M, typename T>
--- a/src/adapters/state_codec.cpp
+++ b/src/adapters/state_codec.cpp
@@ -41,9 +41,7 @@
     for (const auto &pressure : snapshot.pressures) {
         if (config && config->services.contains(pressure.service)) {
             result[config->services.at(pressure.service).name] = {
-                {"busy", pressure.busy},
-                {"wished_floor", pressure.wishedFloor},
-                {"enforced_floor", pressure.enforcedFloor}};
+                {"wished_floor", pressure.wishedFloor}, {"enforced_floor", pressure.enforcedFloor}};
         }
     }
     return result;
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -119,9 +119,16 @@
             fresh.push_back(&peer);
         }
     }
-    std::vector<const Peer *> chosen;
-    std::sample(fresh.begin(), fresh.end(), std::back_inserter(chosen),
-                this->settings.gossipEntries, random);
+    // Half of the room goes to the freshest, half to a sample of the rest, so that news travels
+    // fast and nobody is left out.
+    const auto room = std::min<std::size_t>(this->settings.gossipEntries, fresh.size());
+    const auto middle = fresh.begin() + static_cast<std::ptrdiff_t>(room / 2);
+    std::partial_sort(fresh.begin(), middle, fresh.end(), [](const Peer *left, const Peer *right) {
+        return std::pair{left->heardAt, left->heartbeat.node}
+               > std::pair{right->heardAt, right->heartbeat.node};
+    });
+    std::vector<const Peer *> chosen(fresh.begin(), middle);
+    std::sample(middle, fresh.end(), std::back_inserter(chosen), room - room / 2, random);
     for (const auto *peer : chosen) {
         reply.heartbeats.push_back(peer->heartbeat);
         reply.heartbeats.back().age = now - peer->heardAt;
--- a/src/core/node.cpp
+++ b/src/core/node.cpp
@@ -88,6 +88,7 @@
     }
     if (this->now >= this->nextPull) {
         this->nextPull = this->now + this->settings.pullInterval;
+        this->members.refresh(this->now);
         if (const auto pull = this->members.startPull(this->random, this->now)) {
             this->send(pull->first, pull->second);
         }
--- a/src/core/node_dispatch.cpp
+++ b/src/core/node_dispatch.cpp
@@ -171,16 +171,11 @@
         return;
     }
     std::vector<NodeId> candidates;
-    for (const auto *peer : this->members.contacts(this->now)) {
-        const auto &pressures = peer->heartbeat.pressures;
-        const bool busy =
-            std::any_of(pressures.begin(), pressures.end(), [&](const auto &pressure) {
-                return pressure.service == service && pressure.busy;
-            });
-        const auto refused = state.refusedUntil.find(peer->heartbeat.node);
+    for (const auto node : this->slots.lenders(service)) {
+        const auto refused = state.refusedUntil.find(node);
         const bool mayAsk = refused == state.refusedUntil.end() || refused->second <= this->now;
-        if (!busy && mayAsk) {
-            candidates.push_back(peer->heartbeat.node);
+        if (mayAsk && this->members.inContact(node, this->now)) {
+            candidates.push_back(node);
         }
     }
     if (candidates.empty()) {
--- a/src/core/node_floor.cpp
+++ b/src/core/node_floor.cpp
@@ -122,9 +122,8 @@
              candidate = state.queue.shedCandidate()) {
             this->shed(candidate->call);
         }
-        const bool busy = this->slots.freeCount(service) == 0;
-        if (busy || state.wish < TierCount || state.enforced < TierCount) {
-            this->members.pressures.push_back({service, state.wish, state.enforced, busy});
+        if (state.wish < TierCount || state.enforced < TierCount) {
+            this->members.pressures.push_back({service, state.wish, state.enforced});
         }
     }
 }
--- a/src/core/slot_loans.cpp
+++ b/src/core/slot_loans.cpp
@@ -103,7 +103,7 @@
         const bool waits = std::holds_alternative<Awaiting>(slot.state)
                            || std::holds_alternative<Quarantined>(slot.state);
         if (waits && slot.earlierHolder == from && reply.listRevision >= slot.heldSince) {
-            this->changeState(slot, Free{});
+            this->changeState(ref, slot, Free{});
         }
     }
 }
@@ -144,7 +144,7 @@
     for (std::size_t index = 0; index < count; ++index) {
         auto &slot = this->slots.at(free[index]);
         const auto forgetAt = until + this->longestRun(slot.service) * 21 / 20;
-        this->changeState(slot, Lent{from, ask.loan, until, forgetAt});
+        this->changeState(free[index], slot, Lent{from, ask.loan, until, forgetAt});
         loan.slots.push_back(free[index]);
     }
     return loan;
--- a/src/core/slot_rights.cpp
+++ b/src/core/slot_rights.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::uint64_t SlotKeySpace = 0x736c6f74ULL; ///< Keeps keys apart from tokens' keys.
+constexpr std::size_t MaxCandidates = 16; ///< Usable slots rated for one dispatch.
 constexpr Duration ReportMargin = std::chrono::seconds(1); ///< A dispatch reaches its server in it.
 
 /** @return The rendezvous key of the block of slots that begins with @p first. */
@@ -30,22 +31,44 @@
     return found == this->config->services.end() ? std::chrono::hours(1) : found->second.longestRun;
 }
 
-auto SlotRights::changeState(Slot &slot, SlotState state) -> void
+auto SlotRights::changeState(SlotRef ref, Slot &slot, SlotState state) -> void
 {
+    this->dropFree(slot);
     slot.state = state;
     slot.stateQuery = this->nextQuery;
+    if (std::holds_alternative<Free>(state)) {
+        auto &list = this->freeByService[slot.service];
+        slot.freeIndex = list.size();
+        list.push_back(ref);
+    }
+}
+
+auto SlotRights::dropFree(const Slot &slot) -> void
+{
+    if (!std::holds_alternative<Free>(slot.state)) {
+        return;
+    }
+    auto &list = this->freeByService.at(slot.service);
+    const auto last = list.back();
+    list[slot.freeIndex] = last;
+    this->slots.at(last).freeIndex = slot.freeIndex;
+    list.pop_back();
 }
 
 auto SlotRights::acquire(SlotRef ref, Revision list, NodeId from) -> void
 {
     this->cleared.erase(ref);
     auto &slot = this->slots[ref];
+    this->dropFree(slot);
+    if (std::holds_alternative<Free>(slot.state)) {
+        slot.state = Awaiting{};
+    }
     slot.service = this->config->servers.at(ref.server).service;
     slot.heldSince = list;
     slot.earlierHolder = from;
     slot.held = true;
     if (!std::holds_alternative<Running>(slot.state) && !std::holds_alternative<Lent>(slot.state)) {
-        this->changeState(slot, Awaiting{});
+        this->changeState(ref, slot, Awaiting{});
     }
 }
 
@@ -62,6 +85,7 @@
         return;
     }
     if (std::holds_alternative<Free>(state)) {
+        this->dropFree(slot->second);
         this->cleared[ref] = list;
     }
     this->slots.erase(slot);
@@ -70,7 +94,7 @@
 auto SlotRights::clear(SlotRef ref, Slot &slot) -> void
 {
     if (slot.held) {
-        this->changeState(slot, Free{});
+        this->changeState(ref, slot, Free{});
         return;
     }
     this->cleared[ref] = slot.lostWith;
@@ -85,6 +109,17 @@
             this->byService[slot.service].push_back(ref);
         }
     }
+    std::set<std::pair<ServiceId, NodeId>> holders;
+    for (std::size_t index = 0; index < this->blocks.size(); ++index) {
+        const auto node = this->holderMap.holder(index);
+        if (node != this->self && node != 0) {
+            holders.emplace(this->config->servers.at(this->blocks[index].server).service, node);
+        }
+    }
+    this->lendersByService.clear();
+    for (const auto &[service, node] : holders) {
+        this->lendersByService[service].push_back(node);
+    }
 }
 
 auto SlotRights::blocksOf(const Config &all) const -> std::vector<Block>
@@ -177,10 +212,10 @@
         if (std::holds_alternative<Awaiting>(slot.state) && settled >= slot.heldSince
             && settled != 0) {
             const auto longest = this->settings.slotLoan + this->longestRun(slot.service);
-            this->changeState(slot, Quarantined{now, now + longest});
+            this->changeState(ref, slot, Quarantined{now, now + longest});
         } else if (const auto *quarantine = std::get_if<Quarantined>(&slot.state)) {
             if (now >= quarantine->until) {
-                this->changeState(slot, Free{});
+                this->changeState(ref, slot, Free{});
             }
         } else if (const auto *lent = std::get_if<Lent>(&slot.state)) {
             if (now >= lent->forgetAt) {
@@ -201,28 +236,33 @@
 {
     std::optional<SlotChoice> best;
     double bestScore = 0;
+    std::size_t considered = 0;
     const auto consider = [&](const SlotChoice &choice) {
         const auto rated = score(choice.slot);
+        considered += rated ? 1 : 0;
         if (rated && (!best || *rated < bestScore)) {
             best = choice;
             bestScore = *rated;
         }
     };
-    const auto anchor = members.anchor(now);
-    const auto held = this->byService.find(service);
-    if (anchor && held != this->byService.end()) {
-        for (const auto ref : held->second) {
-            const auto &slot = this->slots.at(ref);
-            if (std::holds_alternative<Free>(slot.state) && *anchor >= slot.heldSince) {
-                consider({ref, 0, members.anchorUntil()});
-            }
-        }
-    }
     for (const auto &[ref, slot] : this->borrowed) {
         if (slot.service == service && !slot.dispatch && now < slot.until) {
             consider({ref, slot.loan, slot.until});
         }
     }
+    const auto anchor = members.anchor(now);
+    const auto free = this->freeByService.find(service);
+    if (!anchor || free == this->freeByService.end()) {
+        return best;
+    }
+    const auto count = free->second.size();
+    const auto start = count == 0 ? 0 : mix64(static_cast<std::uint64_t>(now.count())) % count;
+    for (std::size_t step = 0; step < count && considered < MaxCandidates; ++step) {
+        const auto ref = free->second[(start + step) % count];
+        if (*anchor >= this->slots.at(ref).heldSince) {
+            consider({ref, 0, members.anchorUntil()});
+        }
+    }
     return best;
 }
 
@@ -236,7 +276,7 @@
     }
     auto &slot = this->slots.at(choice.slot);
     ensure(slot.held && std::holds_alternative<Free>(slot.state), "one request a slot");
-    this->changeState(slot, Running{dispatch});
+    this->changeState(choice.slot, slot, Running{dispatch});
 }
 
 auto SlotRights::end(const SlotChoice &choice, Instant now)
@@ -282,25 +322,11 @@
                            && std::any_of(report.runningIds->begin(), report.runningIds->end(),
                                           [&](const auto &id) { return id.ends_with(suffix); });
         if (report.running == 0 || (report.runningIds && !named)) {
-            this->changeState(slot->second, Free{});
+            this->changeState(slot->first, slot->second, Free{});
         }
     }
 }
 
-auto SlotRights::freeCount(ServiceId service) const -> std::size_t
-{
-    std::size_t count = 0;
-    if (const auto held = this->byService.find(service); held != this->byService.end()) {
-        for (const auto ref : held->second) {
-            count += std::holds_alternative<Free>(this->slots.at(ref).state) ? 1 : 0;
-        }
-    }
-    for (const auto &[ref, slot] : this->borrowed) {
-        count += slot.service == service && !slot.dispatch ? 1 : 0;
-    }
-    return count;
-}
-
 auto SlotRights::totalCount(ServiceId service) const -> std::size_t
 {
     const auto held = this->byService.find(service);
@@ -311,6 +337,13 @@
     return count;
 }
 
+auto SlotRights::lenders(ServiceId service) const -> const std::vector<NodeId> &
+{
+    static const std::vector<NodeId> None;
+    const auto found = this->lendersByService.find(service);
+    return found == this->lendersByService.end() ? None : found->second;
+}
+
 auto SlotRights::servers() const -> std::set<ServerId>
 {
     std::set<ServerId> result;
--- a/tests/core/fake_fleet.cpp
+++ b/tests/core/fake_fleet.cpp
@@ -155,6 +155,7 @@
         return;
     }
     vm.node.reset();
+    this->check.nodeDied(id);
     this->trace("node dies " + std::to_string(id));
     // Its connections break: engines cancel what they ran for it, plain services go on.
     for (auto &[serverId, server] : this->servers) {
--- a/tests/core/fleet_check.cpp
+++ b/tests/core/fleet_check.cpp
@@ -119,10 +119,24 @@
     this->configs[config.revision] = std::make_shared<Config>(config);
 }
 
+auto FleetCheck::nodeDied(NodeId node) -> void
+{
+    // Memory is all there is: once fewer than a majority have it, and the platform is stale, a
+    // restarted majority cannot know of a configuration.
+    for (auto &[revision, nodes] : this->having) {
+        const bool wasMajority = this->majorityAt.contains(revision);
+        nodes.erase(node);
+        if (wasMajority && nodes.size() < this->majoritySize) {
+            this->majorityAt.erase(revision);
+        }
+    }
+}
+
 auto FleetCheck::inForce(NodeId node, Revision revision, std::size_t majority, Instant now) -> void
 {
     auto &nodes = this->having[revision];
     nodes.insert(node);
+    this->majoritySize = majority;
     if (nodes.size() >= majority) {
         this->majorityAt.try_emplace(revision, now, this->configs[revision]);
     }
--- a/tests/core/fleet_check.h
+++ b/tests/core/fleet_check.h
@@ -54,6 +54,9 @@
     auto published(const Config &config, Instant now) -> void;
     auto inForce(NodeId node, Revision revision, std::size_t majority, Instant now) -> void;
 
+    /** A node died, and with it what it had read. */
+    auto nodeDied(NodeId node) -> void;
+
     std::uint64_t runs = 0;
     std::uint64_t earlyColdRuns = 0; ///< Beyond the cold slots, before any sign of the restart.
 
@@ -78,6 +81,7 @@
     std::map<Revision, std::pair<Instant, ConfigPtr>> majorityAt; ///< In force at a majority since.
     std::map<Revision, ConfigPtr> configs;
     std::map<Revision, std::set<NodeId>> having;
+    std::size_t majoritySize = 0;
 };
 
 } // namespace banyanring::test
