--- a/include/banyanring/core/server_health_base.h
+++ b/include/banyanring/core/server_health_base.h
@@ -8,6 +8,7 @@
 
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace banyanring {
 
@@ -27,6 +28,7 @@
         Instant warmSince{}; ///< When it turned warm here.
         Instant confirmedUntil{}; ///< The last report counts until then.
         double tokensPerSecond = 0; ///< Moving average per request; 0 for unknown.
+        std::vector<Instant> begun; ///< Own dispatches that the last report may not show.
         std::uint32_t running = 0; ///< Requests running there by the last report.
     };
 
@@ -48,6 +50,13 @@
      */
     auto suspect(ServerId server, Instant now) -> void;
 
+    /**
+     * Notes an own dispatch.
+     * @param server The backend server.
+     * @param now The present.
+     */
+    auto begin(ServerId server, Instant now) -> void;
+
     /**
      * Learns from an answer.
      * @param server The backend server.
@@ -77,7 +86,7 @@
      * @param server The backend server.
      * @return Its state; the default one if nothing is known.
      */
-    auto state(ServerId server) const -> State;
+    auto state(ServerId server) const -> const State &;
 
     /** @return All states. */
     auto all() const -> const std::unordered_map<ServerId, State> &
--- a/src/core/node_dispatch.cpp
+++ b/src/core/node_dispatch.cpp
@@ -33,7 +33,7 @@
         || ref.index >= this->health.slotLimit(server, this->now)) {
         return std::nullopt;
     }
-    const auto state = this->health.state(ref.server);
+    const auto &state = this->health.state(ref.server);
     const auto speed = state.tokensPerSecond > 0 ? state.tokensPerSecond : DefaultSpeed;
     const auto load = std::min(1.0, state.running / std::max(1.0, double(server.slots)));
     const auto distance = double(mix64(affinity ^ ref.server) >> 32U) / 4294967296.0;
@@ -124,6 +124,7 @@
         entry.state = TicketBook::TicketRunning{id, {}};
     }
     this->slots.start(choice, id);
+    this->health.begin(server.id, this->now);
     Run run;
     run.call = call.id;
     run.requestId = call.request.requestId;
--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -10,6 +10,8 @@
 constexpr Duration RampStep = std::chrono::seconds(1); ///< A warm server's bound doubles in it.
 constexpr std::int64_t MaxRampSteps = 16; ///< Slots are numbers of 16 bits.
 constexpr Duration UnreachableRetry = std::chrono::seconds(2); ///< Then a dispatch tries it again.
+constexpr Duration DispatchMargin =
+    std::chrono::milliseconds(100); ///< A dispatch reaches its server in it.
 constexpr double SpeedGain = 0.2; ///< Weight of the newest speed.
 
 } // namespace
@@ -39,6 +41,8 @@
     state.reachable = true;
     state.suspected = false;
     state.running = report.running;
+    const auto shownUntil = now - report.readAge - DispatchMargin;
+    std::erase_if(state.begun, [&](Instant at) { return at < shownUntil; });
     state.confirmedUntil =
         std::max(state.confirmedUntil, now - report.readAge + this->settings.reportFresh);
     return changed;
@@ -51,6 +55,11 @@
     state.suspectedAt = now;
 }
 
+auto ServerHealth::begin(ServerId server, Instant now) -> void
+{
+    this->states[server].begun.push_back(now);
+}
+
 auto ServerHealth::learn(ServerId server, std::uint32_t tokens, Duration took) -> void
 {
     if (tokens == 0 || took.count() <= 0) {
@@ -65,14 +74,14 @@
 
 auto ServerHealth::slotLimit(const BackendServer &server, Instant now) const -> std::uint16_t
 {
-    const auto state = this->state(server.id);
+    const auto &state = this->state(server.id);
     if (!state.reachable && now - state.suspectedAt < UnreachableRetry) {
         return 0;
     }
     const bool fresh = now < state.confirmedUntil;
     if (!state.known || state.cold || state.suspected || !fresh) {
         // Requests from before the restart was known may fill it beyond its cold slots.
-        const bool full = fresh && state.cold && state.running >= server.coldSlots;
+        const bool full = state.running + state.begun.size() >= server.coldSlots && fresh;
         return full ? 0 : std::min(server.coldSlots, server.slots);
     }
     const auto steps =
@@ -87,10 +96,11 @@
     return this->state(server).confirmedUntil;
 }
 
-auto ServerHealth::state(ServerId server) const -> State
+auto ServerHealth::state(ServerId server) const -> const State &
 {
+    static const State Unknown;
     const auto found = this->states.find(server);
-    return found == this->states.end() ? State{} : found->second;
+    return found == this->states.end() ? Unknown : found->second;
 }
 
 auto ServerHealth::takeConfig(const Config &config) -> void
