--- a/include/banyanring/core/slot_rights_base.h
+++ b/include/banyanring/core/slot_rights_base.h
@@ -233,6 +233,7 @@
         Revision lostWith = 0; ///< List that moved it away.
         bool held = true; ///< False once it moved away.
         SlotState state = Awaiting{};
+        bool awaitsAfter = false; ///< It moved away and back under its request or loan.
         std::size_t freeIndex = 0; ///< Place in the list of free slots, while free.
         std::uint64_t stateQuery = 0; ///< Queries with a smaller token say nothing of this state.
     };
--- a/src/core/slot_rights.cpp
+++ b/src/core/slot_rights.cpp
@@ -3,6 +3,7 @@
 #include "banyanring/core/slot_rights_base.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace banyanring {
 
@@ -69,6 +70,8 @@
     slot.held = true;
     if (!std::holds_alternative<Running>(slot.state) && !std::holds_alternative<Lent>(slot.state)) {
         this->changeState(ref, slot, Awaiting{});
+    } else {
+        slot.awaitsAfter = true;
     }
 }
 
@@ -93,12 +96,19 @@
 
 auto SlotRights::clear(SlotRef ref, Slot &slot) -> void
 {
-    if (slot.held) {
-        this->changeState(ref, slot, Free{});
+    if (!slot.held) {
+        if (!slot.awaitsAfter) {
+            this->cleared[ref] = slot.lostWith;
+        }
+        this->slots.erase(ref);
+        return;
+    }
+    if (std::exchange(slot.awaitsAfter, false)) {
+        // It was another node's meanwhile, which may have used it.
+        this->changeState(ref, slot, Awaiting{});
         return;
     }
-    this->cleared[ref] = slot.lostWith;
-    this->slots.erase(ref);
+    this->changeState(ref, slot, Free{});
 }
 
 auto SlotRights::rebuildIndex() -> void
