--- /dev/null
+++ b/tests/unit/core_tests.cpp
@@ -0,0 +1,481 @@
+/** @file core_tests.cpp Focused tests of the decision core's modules. */
+#include "banyanring/core/holder_map.h"
+#include "banyanring/core/invariant_func.h"
+#include "banyanring/core/node_base.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace banyanring;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr OrganisationId Red = nameId("red");
+constexpr ServerId Engine = nameId("llm-0");
+
+/** @return A list of VMs with the given live ones. */
+auto listOf(Revision revision, const std::vector<NodeId> &live) -> VmListPtr
+{
+    auto list = std::make_shared<VmList>();
+    list->revision = revision;
+    for (const auto id : live) {
+        list->vms.push_back({id, "entry-" + std::to_string(id), "", "d", false});
+    }
+    return list;
+}
+
+/** @return A configuration with one engine service, one organisation and one server. */
+auto smallConfig(Revision revision) -> std::shared_ptr<Config>
+{
+    auto config = std::make_shared<Config>();
+    config->revision = revision;
+    const auto llm = nameId("llm");
+    config->services[llm] = {"llm", llm, BackendKind::Engine, seconds(20), 1000};
+    config->routes["/draft"] = {"/draft", llm, 1, true, false, seconds(10)};
+    config->routes["/order"] = {"/order", llm, 1, false, false, seconds(10)};
+    config->organisations[Red] = {"red", Red, 1000, 10000, 1};
+    config->keys["key"] = Red;
+    config->servers[Engine] = {"llm-0", Engine, llm, "host", nameId("d0"), 8, 2, false};
+    return config;
+}
+
+/** A membership that hears from peers by hand. */
+class MembershipFixture : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(MembershipFixture);
+    CPPUNIT_TEST(anchor_majorityHeard_holdsForLapse);
+    CPPUNIT_TEST(anchor_replyToUnknownPull_ignored);
+    CPPUNIT_TEST(anchor_replyDelayed_countsFromPull);
+    CPPUNIT_TEST(pull_fromPeer_keepsWhatWasHeard);
+    CPPUNIT_TEST(settled_majoritiesNeedNotMeet_asksBoth);
+    CPPUNIT_TEST(coversEarlier_listKnownAtGrowth_isFalse);
+    CPPUNIT_TEST(anchor_aloneInList_holds);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto setUp() -> void override
+    {
+        this->members.takeList(listOf(1, {1, 2, 3}), this->now);
+        this->now += seconds(5);
+    }
+
+    /** Pulls and lets the answer state a list revision for some nodes. */
+    auto hear(const std::vector<NodeId> &nodes, Revision list, Duration transit = milliseconds(2))
+        -> void
+    {
+        const auto pull = this->members.startPull(this->random, this->now);
+        this->now += transit;
+        GossipReply reply;
+        reply.token = pull->second.token;
+        for (const auto node : nodes) {
+            Heartbeat heartbeat;
+            heartbeat.node = node;
+            heartbeat.incarnation = 1;
+            heartbeat.sequence = ++this->sequence;
+            heartbeat.listRevision = list;
+            reply.heartbeats.push_back(heartbeat);
+        }
+        this->members.takeReply(reply, this->now);
+    }
+
+    auto anchor_majorityHeard_holdsForLapse() -> void
+    {
+        CPPUNIT_ASSERT(!this->members.anchor(this->now));
+        this->hear({2}, 1);
+        CPPUNIT_ASSERT(this->members.anchor(this->now) == Revision{1});
+        this->now += this->settings.lapse;
+        CPPUNIT_ASSERT(!this->members.anchor(this->now));
+    }
+
+    auto anchor_replyToUnknownPull_ignored() -> void
+    {
+        GossipReply reply;
+        reply.token = 4711;
+        reply.heartbeats.push_back({2, 1, 1, 0, 1, {}, false, {}});
+        this->members.takeReply(reply, this->now);
+        CPPUNIT_ASSERT(!this->members.anchor(this->now));
+    }
+
+    auto anchor_replyDelayed_countsFromPull() -> void
+    {
+        this->hear({2}, 1, milliseconds(1500));
+        CPPUNIT_ASSERT(this->members.anchor(this->now));
+        this->now += this->settings.lapse - milliseconds(1500);
+        CPPUNIT_ASSERT(!this->members.anchor(this->now));
+    }
+
+    auto pull_fromPeer_keepsWhatWasHeard() -> void
+    {
+        this->hear({2}, 1);
+        this->members.answerPull(2, {1, false}, this->random, this->now);
+        CPPUNIT_ASSERT(this->members.inContact(2, this->now));
+    }
+
+    auto settled_majoritiesNeedNotMeet_asksBoth() -> void
+    {
+        this->hear({2, 3}, 1);
+        this->members.takeList(listOf(2, {1, 4}), this->now);
+        this->hear({4}, 2);
+        this->now += this->settings.lapse * 2;
+        this->hear({4}, 2);
+        CPPUNIT_ASSERT_EQUAL(Revision{1}, this->members.settledRevision(this->now));
+        this->hear({2, 4}, 2);
+        this->now += this->settings.lapse * 2;
+        CPPUNIT_ASSERT_EQUAL(Revision{2}, this->members.settledRevision(this->now));
+    }
+
+    auto coversEarlier_listKnownAtGrowth_isFalse() -> void
+    {
+        this->hear({2}, 3);
+        this->hear({2, 3}, 3);
+        CPPUNIT_ASSERT(!this->members.coversEarlier(3));
+        CPPUNIT_ASSERT(this->members.coversEarlier(4));
+    }
+
+    auto anchor_aloneInList_holds() -> void
+    {
+        Membership alone(this->settings, 1, 1, Instant{});
+        alone.takeList(listOf(1, {1}), Instant{});
+        alone.refresh(seconds(5));
+        CPPUNIT_ASSERT(alone.anchor(seconds(5)));
+    }
+
+private:
+    NodeSettings settings;
+    std::mt19937_64 random{1};
+    Instant now{};
+    std::uint64_t sequence = 0;
+    Membership members{settings, 1, 1, Instant{}};
+};
+
+/** Token buckets and the parts of an organisation. */
+class TokenFixture : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(TokenFixture);
+    CPPUNIT_TEST(bucket_reservedWhileFilling_neverAboveBurst);
+    CPPUNIT_TEST(bucket_lent_countsUntilEnd);
+    CPPUNIT_TEST(bucket_heldBack_fillsToRest);
+    CPPUNIT_TEST(rights_hugeRate_partsBounded);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto bucket_reservedWhileFilling_neverAboveBurst() -> void
+    {
+        TokenBucket bucket(100, 1000, Instant{});
+        CPPUNIT_ASSERT(bucket.reserve(1000, seconds(10)));
+        CPPUNIT_ASSERT_EQUAL(0.0, bucket.available(seconds(100)));
+        bucket.spend(1000);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(100.0, bucket.available(seconds(101)), 1e-6);
+    }
+
+    auto bucket_lent_countsUntilEnd() -> void
+    {
+        TokenBucket bucket(100, 1000, Instant{});
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(500.0, bucket.lend(900, seconds(10)), 1e-6);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(500.0, bucket.available(seconds(100)), 1e-6);
+        bucket.endLoan(500);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(600.0, bucket.available(seconds(101)), 1e-6);
+    }
+
+    auto bucket_heldBack_fillsToRest() -> void
+    {
+        TokenBucket bucket(100, 1000, Instant{});
+        bucket.holdBack(500, seconds(50));
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(500.0, bucket.available(seconds(40)), 1e-6);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1000.0, bucket.available(seconds(60)), 1e-6);
+    }
+
+    auto rights_hugeRate_partsBounded() -> void
+    {
+        NodeSettings settings;
+        TokenRights rights(settings, 1);
+        auto config = smallConfig(1);
+        config->organisations[Red].rate = 1e9;
+        config->organisations[Red].burst = 1e12;
+        rights.takeNodes({1}, 1, false);
+        rights.takeConfig(*config, 1, Instant{});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1024}, rights.heldParts());
+    }
+};
+
+/** Cold starts. */
+class HealthFixture : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HealthFixture);
+    CPPUNIT_TEST(limit_unknownServer_isCold);
+    CPPUNIT_TEST(limit_staleReport_isCold);
+    CPPUNIT_TEST(limit_coldAndFull_isNone);
+    CPPUNIT_TEST(limit_suspected_endsWithLaterReport);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto report(std::uint64_t startedAt, bool cold, std::uint32_t running, Instant now) -> void
+    {
+        BackendReport report;
+        report.server = Engine;
+        report.startedAt = startedAt;
+        report.cold = cold;
+        report.running = running;
+        this->health.takeReport(report, now);
+    }
+
+    auto limit_unknownServer_isCold() -> void
+    {
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{2}, this->health.slotLimit(this->server, Instant{}));
+    }
+
+    auto limit_staleReport_isCold() -> void
+    {
+        this->report(5, false, 0, seconds(1));
+        this->report(5, false, 0, seconds(10));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{8}, this->health.slotLimit(this->server, seconds(11)));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{2}, this->health.slotLimit(this->server, seconds(13)));
+    }
+
+    auto limit_coldAndFull_isNone() -> void
+    {
+        this->report(5, true, 1, seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{2}, this->health.slotLimit(this->server, seconds(1)));
+        this->health.begin(Engine, seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, this->health.slotLimit(this->server, seconds(1)));
+    }
+
+    auto limit_suspected_endsWithLaterReport() -> void
+    {
+        this->report(5, false, 0, seconds(1));
+        this->health.suspect(Engine, seconds(9));
+        this->report(5, false, 0, seconds(9));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{2}, this->health.slotLimit(this->server, seconds(9)));
+        this->report(5, false, 0, seconds(10));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{8}, this->health.slotLimit(this->server, seconds(10)));
+    }
+
+private:
+    NodeSettings settings;
+    ServerHealth health{settings};
+    BackendServer server = smallConfig(1)->servers.at(Engine);
+};
+
+/** The queue, tickets, suspects and hashing. */
+class PartsFixture : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PartsFixture);
+    CPPUNIT_TEST(queue_tiersAndWeights_sharedFairly);
+    CPPUNIT_TEST(queue_longNotAllowed_shortGoes);
+    CPPUNIT_TEST(ticket_forgedOrForeign_refused);
+    CPPUNIT_TEST(ticket_expiredUnused_refused);
+    CPPUNIT_TEST(suspects_twoDeathsOfOneServer_countTwice);
+    CPPUNIT_TEST(holderMap_nodeAdded_sameAsRebuilt);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto queue_tiersAndWeights_sharedFairly() -> void
+    {
+        WaitQueue queue;
+        for (CallId call = 1; call <= 300; ++call) {
+            const bool heavy = call % 2 == 0;
+            queue.push({call, heavy ? 1U : 2U, heavy ? 3.0 : 1.0, 100, 1, false, Instant(call)});
+        }
+        queue.push({1000, 3, 1, 100, 0, false, Instant(1000)});
+        CPPUNIT_ASSERT_EQUAL(CallId{1000}, queue.pop(true)->call);
+        int heavy = 0;
+        for (int count = 0; count < 80; ++count) {
+            heavy += queue.pop(true)->organisation == 1 ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(heavy >= 55 && heavy <= 65);
+    }
+
+    auto queue_longNotAllowed_shortGoes() -> void
+    {
+        WaitQueue queue;
+        queue.push({1, 1, 1, 9000, 0, true, Instant(1)});
+        queue.push({2, 1, 1, 10, 2, false, Instant(2)});
+        CPPUNIT_ASSERT_EQUAL(CallId{2}, queue.pop(false)->call);
+        CPPUNIT_ASSERT(!queue.pop(false));
+        CPPUNIT_ASSERT_EQUAL(CallId{1}, queue.pop(true)->call);
+    }
+
+    auto ticket_forgedOrForeign_refused() -> void
+    {
+        TicketBook book(this->settings, 1, 7, {1});
+        auto text = *book.mint(Red, "/order", Instant{});
+        CPPUNIT_ASSERT(book.verify(text, Red, "/order", Instant{}));
+        CPPUNIT_ASSERT(!book.verify(text, Red + 1, "/order", Instant{}));
+        CPPUNIT_ASSERT(!book.verify(text, Red, "/other", Instant{}));
+        CPPUNIT_ASSERT(
+            !TicketBook(this->settings, 1, 7, {2}).verify(text, Red, "/order", Instant{}));
+        text.back() = text.back() == '0' ? '1' : '0';
+        CPPUNIT_ASSERT(!book.verify(text, Red, "/order", Instant{}));
+    }
+
+    auto ticket_expiredUnused_refused() -> void
+    {
+        TicketBook book(this->settings, 1, 7, {1});
+        const auto used = *book.mint(Red, "/order", Instant{});
+        const auto unused = *book.mint(Red, "/order", Instant{});
+        book.use(*book.verify(used, Red, "/order", Instant{}), Instant{});
+        const auto later = this->settings.ticketValid + seconds(1);
+        CPPUNIT_ASSERT(book.verify(used, Red, "/order", later));
+        CPPUNIT_ASSERT(!book.verify(unused, Red, "/order", later));
+    }
+
+    auto suspects_twoDeathsOfOneServer_countTwice() -> void
+    {
+        SuspectTable suspects(this->settings);
+        CPPUNIT_ASSERT(suspects.add(9, Engine, 1, Instant{}));
+        CPPUNIT_ASSERT(!suspects.add(9, Engine, 1, Instant{}));
+        CPPUNIT_ASSERT(suspects.add(9, Engine, 2, Instant{}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, suspects.deaths(9));
+    }
+
+    auto holderMap_nodeAdded_sameAsRebuilt() -> void
+    {
+        std::vector<std::uint64_t> keys;
+        for (std::uint64_t key = 0; key < 500; ++key) {
+            keys.push_back(mix64(key));
+        }
+        HolderMap stepwise;
+        stepwise.setKeys(keys);
+        stepwise.setNodes({1, 2, 3});
+        stepwise.setNodes({1, 3, 4, 5});
+        HolderMap atOnce;
+        atOnce.setNodes({1, 3, 4, 5});
+        atOnce.setKeys(keys);
+        for (std::size_t key = 0; key < keys.size(); ++key) {
+            CPPUNIT_ASSERT_EQUAL(atOnce.holder(key), stepwise.holder(key));
+        }
+    }
+
+private:
+    NodeSettings settings;
+};
+
+/** A whole core that is alone in its list. */
+class NodeFixture : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(NodeFixture);
+    CPPUNIT_TEST(request_twiceWithTicket_dispatchedOnce);
+    CPPUNIT_TEST(request_withoutTicketOnOrder_refused);
+    CPPUNIT_TEST(request_keyWithdrawnWhileRunning_cancelled);
+    CPPUNIT_TEST(request_connectRefused_triedAgain);
+    CPPUNIT_TEST(config_olderRevision_ignored);
+    CPPUNIT_TEST(dispatch_afterPause_notUnderOldRights);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto setUp() -> void override
+    {
+        this->node.handle(VmListRead{listOf(1, {1})}, this->now);
+        this->node.handle(ConfigRead{smallConfig(2)}, this->now);
+        for (int step = 0; step < 100; ++step) {
+            this->now += milliseconds(500);
+            this->tick();
+        }
+    }
+
+    /** Reads a report and ticks. */
+    auto tick() -> void
+    {
+        BackendReport report;
+        report.server = Engine;
+        report.startedAt = 1;
+        this->node.handle(report, this->now);
+        this->node.handle(Tick{}, this->now);
+    }
+
+    /** Sends a request. */
+    auto send(CallId call, const std::string &path, const std::string &ticket = {}) -> Actions
+    {
+        RequestArrived event;
+        event.call = call;
+        event.requestId = "r" + std::to_string(call);
+        event.keyDigest = "key";
+        event.path = path;
+        event.tokens = 10;
+        event.ticket = ticket;
+        return this->node.handle(event, this->now);
+    }
+
+    /** @return The first action of a type, or null. */
+    template <typename T> static auto first(const Actions &actions) -> const T *
+    {
+        for (const auto &action : actions) {
+            if (const auto *typed = std::get_if<T>(&action)) {
+                return typed;
+            }
+        }
+        return nullptr;
+    }
+
+    auto request_twiceWithTicket_dispatchedOnce() -> void
+    {
+        const auto asked = this->node.handle(TicketAsked{1, "key", "/order"}, this->now);
+        const auto ticket = first<GrantTicket>(asked)->ticket;
+        const auto run = this->send(2, "/order", ticket);
+        CPPUNIT_ASSERT(first<Dispatch>(run) != nullptr);
+        CPPUNIT_ASSERT(this->send(3, "/order", ticket).empty());
+        const auto body = std::make_shared<const std::string>("done");
+        const auto dispatch = first<Dispatch>(run)->dispatch;
+        const auto ended =
+            this->node.handle(BackendEnded{dispatch, 200, body, 1, "text/plain"}, this->now);
+        CPPUNIT_ASSERT_EQUAL(CallId{3}, first<Replay>(ended)->call);
+        CPPUNIT_ASSERT_EQUAL(std::string("r2"),
+                             first<Replay>(this->send(4, "/order", ticket))->requestId);
+    }
+
+    auto request_withoutTicketOnOrder_refused() -> void
+    {
+        const auto actions = this->send(1, "/order");
+        CPPUNIT_ASSERT(first<Refuse>(actions)->refusal.reason == Reason::TicketNeeded);
+    }
+
+    auto request_keyWithdrawnWhileRunning_cancelled() -> void
+    {
+        CPPUNIT_ASSERT(first<Dispatch>(this->send(1, "/draft")) != nullptr);
+        auto config = smallConfig(3);
+        config->keys.clear();
+        const auto actions = this->node.handle(ConfigRead{config}, this->now);
+        CPPUNIT_ASSERT(first<CancelDispatch>(actions) != nullptr);
+        CPPUNIT_ASSERT(first<Refuse>(actions)->refusal.outcome == Outcome::Unknown);
+        CPPUNIT_ASSERT(first<Refuse>(this->send(2, "/draft"))->refusal.reason == Reason::BadKey);
+    }
+
+    auto request_connectRefused_triedAgain() -> void
+    {
+        const auto run = *first<Dispatch>(this->send(1, "/draft"));
+        this->node.handle(BackendFailed{run.dispatch, false, false}, this->now);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, this->node.counters().dispatched);
+    }
+
+    auto config_olderRevision_ignored() -> void
+    {
+        this->node.handle(ConfigRead{smallConfig(1)}, this->now);
+        CPPUNIT_ASSERT_EQUAL(Revision{2}, this->node.config()->revision);
+    }
+
+    auto dispatch_afterPause_notUnderOldRights() -> void
+    {
+        Node peered(NodeSettings{}, {1, 1, 1, {}}, Instant{});
+        peered.handle(VmListRead{listOf(1, {1, 2, 3})}, Instant{});
+        peered.handle(ConfigRead{smallConfig(2)}, Instant{});
+        RequestArrived event;
+        event.call = 1;
+        event.keyDigest = "key";
+        event.path = "/draft";
+        const auto actions = peered.handle(event, seconds(60));
+        CPPUNIT_ASSERT(first<Refuse>(actions)->refusal.reason == Reason::NotReady);
+    }
+
+private:
+    Instant now{};
+    Node node{NodeSettings{}, Node::Identity{1, 1, 1, {}}, Instant{}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MembershipFixture);
+CPPUNIT_TEST_SUITE_REGISTRATION(TokenFixture);
+CPPUNIT_TEST_SUITE_REGISTRATION(HealthFixture);
+CPPUNIT_TEST_SUITE_REGISTRATION(PartsFixture);
+CPPUNIT_TEST_SUITE_REGISTRATION(NodeFixture);
+
+} // namespace
