--- a/include/banyanring/core/node_base.h
+++ b/include/banyanring/core/node_base.h
@@ -225,21 +225,26 @@
     // node_admit.cpp
     auto on(const RequestArrived &event) -> void;
     auto on(const CallerLeft &event) -> void;
-    auto on(const TicketAsked &event) -> void;
-    auto on(const TicketCancelAsked &event) -> void;
-    auto on(const AddressAsked &event) -> void;
     auto organisationOf(const std::string &keyDigest) const -> std::optional<OrganisationId>;
-    auto admitTicket(Call &call, const Route &route) -> bool;
-    auto forwardTicket(const Call &call) -> void;
     auto admitSuspect(Call &call) -> bool;
     auto gather(CallId id) -> void;
     auto askNext(Call &call) -> void;
     auto enqueue(Call &call) -> void;
+    auto mayUse(const Route &route, const std::string &keyDigest) const -> bool;
     auto cost(const Call &call) const -> double;
     auto refuse(CallId id, Refusal refusal) -> void;
     auto tell(CallId id, const std::string &requestId, Refusal refusal) -> void;
     auto dropCall(CallId id) -> void;
 
+    // node_ticket.cpp
+    auto on(const TicketAsked &event) -> void;
+    auto on(const TicketCancelAsked &event) -> void;
+    auto admitTicket(Call &call, const Route &route) -> bool;
+    auto forwardTicket(const Call &call) -> void;
+
+    // node_address.cpp
+    auto on(const AddressAsked &event) -> void;
+
     // node_dispatch.cpp
     auto on(const BackendStarted &event) -> void;
     auto on(const BackendEnded &event) -> void;
--- a/src/core/node_admit.cpp
+++ b/src/core/node_admit.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr std::size_t AddressCount = 4; ///< Addresses told to a caller.
 constexpr std::size_t SuspectLimit = 2; ///< Deaths after which none runs.
 constexpr Duration RetrySoon = std::chrono::seconds(1); ///< Told with passing refusals.
 constexpr double MinCost = 1; ///< Tokens that any request costs.
@@ -31,6 +30,11 @@
     return key == this->currentConfig->keys.end() ? std::nullopt : std::optional(key->second);
 }
 
+auto Node::mayUse(const Route &route, const std::string &keyDigest) const -> bool
+{
+    return this->organisationOf(keyDigest) || (route.open && keyDigest.empty());
+}
+
 auto Node::cost(const Call &call) const -> double
 {
     return std::max(MinCost, static_cast<double>(call.request.tokens));
@@ -95,10 +99,10 @@
     if (route == this->currentConfig->routes.end()) {
         return refuseNow(Reason::NoSuchRoute, {});
     }
-    const auto organisation = this->organisationOf(event.keyDigest);
-    if (!organisation && (!route->second.open || !event.keyDigest.empty())) {
+    if (!this->mayUse(route->second, event.keyDigest)) {
         return refuseNow(Reason::BadKey, {});
     }
+    const auto organisation = this->organisationOf(event.keyDigest);
     const auto &service = this->currentConfig->services.at(route->second.service);
     Call call;
     call.id = event.call;
@@ -122,6 +126,9 @@
     if (!this->ready()) {
         return refuseNow(Reason::NotReady, RetrySoon);
     }
+    if (this->slots.totalCount(service.id) == 0 && this->slots.lenders(service.id).empty()) {
+        return refuseNow(Reason::NoServer, RetrySoon);
+    }
     const auto &organisations = this->currentConfig->organisations;
     if (organisation && this->cost(call) > organisations.at(*organisation).burst) {
         return refuseNow(Reason::TooLarge, {});
@@ -139,80 +146,6 @@
     this->gather(id);
 }
 
-auto Node::admitTicket(Call &call, const Route &route) -> bool
-{
-    const auto refuseNow = [&](Outcome outcome, Reason reason) {
-        this->tell(call.id, call.request.requestId, {outcome, reason, {}});
-        return false;
-    };
-    if (call.request.ticket.empty()) {
-        return route.idempotent || refuseNow(Outcome::NotRun, Reason::TicketNeeded);
-    }
-    const auto ticket = parseTicket(call.request.ticket);
-    if (!ticket) {
-        return refuseNow(Outcome::NotRun, Reason::BadTicket);
-    }
-    if (ticket->node != this->self && !call.request.forwarded) {
-        this->forwardTicket(call);
-        return false;
-    }
-    if (ticket->node != this->self || ticket->incarnation != this->incarnation) {
-        return refuseNow(Outcome::Unknown, Reason::TicketOwnerGone);
-    }
-    const auto sequence =
-        this->tickets.verify(call.request.ticket, call.organisation, call.request.path, this->now);
-    if (!sequence) {
-        return refuseNow(Outcome::NotRun, Reason::BadTicket);
-    }
-    call.ticket = sequence;
-    auto *entry = this->tickets.find(*sequence);
-    if (entry == nullptr || std::holds_alternative<std::monostate>(entry->state)) {
-        return true;
-    }
-    if (entry->bodyDigest != call.request.bodyDigest
-        && !std::holds_alternative<TicketBook::TicketCancelled>(entry->state)) {
-        return refuseNow(Outcome::NotRun, Reason::BadTicket);
-    }
-    if (const auto *answered = std::get_if<TicketBook::TicketAnswered>(&entry->state)) {
-        this->note(call.request.requestId, Step::Attached, "answer of " + answered->requestId);
-        this->act(Replay{call.id, answered->status, answered->body, answered->requestId,
-                         answered->contentType});
-        return false;
-    }
-    if (std::holds_alternative<TicketBook::TicketUnknown>(entry->state)) {
-        return refuseNow(Outcome::Unknown, Reason::BackendFailed);
-    }
-    if (std::holds_alternative<TicketBook::TicketCancelled>(entry->state)) {
-        return refuseNow(Outcome::NotRun, Reason::BadTicket);
-    }
-    if (auto *running = std::get_if<TicketBook::TicketRunning>(&entry->state)) {
-        running->followers.push_back(call.id);
-        call.state = Following{};
-        this->note(call.request.requestId, Step::Attached, "running");
-        const auto id = call.id;
-        this->calls.insert_or_assign(id, std::move(call));
-        return false;
-    }
-    // The ticket's first caller still waits here: the newest caller takes its place.
-    const auto earlier = std::get<TicketBook::TicketWaiting>(entry->state).call;
-    this->refuse(earlier, {Outcome::Unknown, Reason::Superseded, {}});
-    return true;
-}
-
-auto Node::forwardTicket(const Call &call) -> void
-{
-    const auto ticket = parseTicket(call.request.ticket);
-    const auto address = this->members.list() ? this->addressOf(ticket->node) : std::string{};
-    if (address.empty()) {
-        this->tell(call.id, call.request.requestId,
-                   {Outcome::Unknown, Reason::TicketOwnerGone, {}});
-        return;
-    }
-    ++this->counts.forwarded;
-    this->note(call.request.requestId, Step::Forwarded, "node " + std::to_string(ticket->node));
-    this->act(Forward{call.id, ticket->node, address});
-}
-
 auto Node::admitSuspect(Call &call) -> bool
 {
     const auto deaths = this->suspects.deaths(call.fingerprint);
@@ -330,107 +263,4 @@
     this->dropCall(event.call);
 }
 
-auto Node::on(const TicketAsked &event) -> void
-{
-    const auto refuseNow = [&](Reason reason, Duration retryAfter) {
-        this->tell(event.call, {}, {Outcome::NotRun, reason, retryAfter});
-    };
-    if (!this->ready()) {
-        return refuseNow(Reason::NotReady, RetrySoon);
-    }
-    if (this->pastGrace()) {
-        return refuseNow(Reason::Stopping, RetrySoon);
-    }
-    const auto route = this->currentConfig->routes.find(event.path);
-    if (route == this->currentConfig->routes.end()) {
-        return refuseNow(Reason::NoSuchRoute, {});
-    }
-    const auto organisation = this->organisationOf(event.keyDigest);
-    if (!organisation && (!route->second.open || !event.keyDigest.empty())) {
-        return refuseNow(Reason::BadKey, {});
-    }
-    const auto ticket = this->tickets.mint(organisation.value_or(0), event.path, this->now);
-    if (!ticket) {
-        return refuseNow(Reason::Overload, RetrySoon);
-    }
-    this->act(GrantTicket{event.call, *ticket, this->settings.ticketValid});
-}
-
-auto Node::on(const TicketCancelAsked &event) -> void
-{
-    const auto ticket = parseTicket(event.ticket);
-    if (ticket && ticket->node != this->self) {
-        const auto address = this->members.list() ? this->addressOf(ticket->node) : std::string{};
-        if (!address.empty()) {
-            this->act(Forward{event.call, ticket->node, address});
-            return;
-        }
-    }
-    const auto organisation = this->organisationOf(event.keyDigest).value_or(0);
-    const auto sequence = this->tickets.verify(event.ticket, organisation, {}, this->now);
-    if (!sequence) {
-        const bool gone = ticket && ticket->incarnation != this->incarnation;
-        this->tell(event.call, {},
-                   gone ? Refusal{Outcome::Unknown, Reason::TicketOwnerGone, {}}
-                        : Refusal{Outcome::NotRun, Reason::BadTicket, {}});
-        return;
-    }
-    auto &entry = this->tickets.use(*sequence, this->now);
-    if (entry.dispatched) {
-        const bool answered = std::holds_alternative<TicketBook::TicketAnswered>(entry.state);
-        this->act(ConfirmCancel{event.call, answered ? Outcome::Answered : Outcome::Unknown});
-        return;
-    }
-    if (const auto *waiting = std::get_if<TicketBook::TicketWaiting>(&entry.state)) {
-        this->refuse(waiting->call, {Outcome::NotRun, Reason::None, {}});
-    }
-    entry.state = TicketBook::TicketCancelled{};
-    this->act(ConfirmCancel{event.call, Outcome::NotRun});
-}
-
-auto Node::on(const AddressAsked &event) -> void
-{
-    const auto organisation = this->organisationOf(event.keyDigest);
-    if (!organisation && !event.keyDigest.empty()) {
-        this->tell(event.call, {}, {Outcome::NotRun, Reason::BadKey, {}});
-        return;
-    }
-    if (!this->members.list()) {
-        this->tell(event.call, {}, {Outcome::NotRun, Reason::NotReady, RetrySoon});
-        return;
-    }
-    const auto usable = [&](NodeId node) {
-        if (node == this->self) {
-            return !this->stopAt && this->ready();
-        }
-        const auto peer = this->members.peers().find(node);
-        // A node that states no list has just started and takes nothing yet.
-        return this->members.inContact(node, this->now) && !peer->second.heartbeat.leaving
-               && peer->second.heartbeat.listRevision != 0;
-    };
-    GiveAddresses answer;
-    answer.call = event.call;
-    answer.keep = this->settings.addressKeep;
-    auto order = this->tokens.holders(organisation.value_or(0));
-    std::shuffle(order.begin(), order.end(), this->random);
-    const auto holderCount = order.size();
-    const auto seed = organisation ? *organisation : this->random();
-    for (const auto node : rendezvousOrder(seed, this->members.liveNodes())) {
-        if (std::find(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(holderCount), node)
-            == order.begin() + static_cast<std::ptrdiff_t>(holderCount)) {
-            order.push_back(node);
-        }
-    }
-    for (const auto node : order) {
-        if (usable(node) && answer.addresses.size() < AddressCount) {
-            answer.addresses.push_back(this->addressOf(node));
-        }
-    }
-    if (answer.addresses.empty()) {
-        this->tell(event.call, {}, {Outcome::NotRun, Reason::NotReady, RetrySoon});
-        return;
-    }
-    this->act(std::move(answer));
-}
-
 } // namespace banyanring
