Cold servers: each early run takes the same cold slot away at every node

Which cold slots are left now follows from the slots that the report names, alike at all nodes. The new unit test failed before (1 of 37) and passes now.

--- a/include/banyanring/core/server_health_base.h
+++ b/include/banyanring/core/server_health_base.h
@@ -28,6 +28,7 @@
         Instant warmSince{}; ///< When it turned warm here.
         Instant confirmedUntil{}; ///< The last report counts until then.
         double tokensPerSecond = 0; ///< Moving average per request; 0 for unknown.
+        std::vector<std::uint16_t> runningSlots; ///< Slots of the requests that it named.
         std::vector<Instant> begun; ///< Own dispatches that the last report may not show.
         std::uint32_t running = 0; ///< Requests running there by the last report.
     };
--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -2,6 +2,7 @@
 #include "banyanring/core/server_health_base.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace banyanring {
 
@@ -14,6 +15,22 @@
     std::chrono::milliseconds(100); ///< A dispatch reaches its server in it.
 constexpr double SpeedGain = 0.2; ///< Weight of the newest speed.
 
+/** @return The slots of the requests that a report names; they stand behind the last ".s". */
+auto slotsNamed(const BackendReport &report) -> std::vector<std::uint16_t>
+{
+    std::vector<std::uint16_t> slots;
+    for (const auto &id : report.runningIds.value_or(std::vector<std::string>{})) {
+        const auto mark = id.rfind(".s");
+        std::uint16_t slot = 0;
+        if (mark != std::string::npos
+            && std::from_chars(id.data() + mark + 2, id.data() + id.size(), slot).ec
+                   == std::errc{}) {
+            slots.push_back(slot);
+        }
+    }
+    return slots;
+}
+
 } // namespace
 
 auto ServerHealth::takeReport(const BackendReport &report, Instant now) -> bool
@@ -41,6 +58,7 @@
     state.reachable = true;
     state.suspected = false;
     state.running = report.running;
+    state.runningSlots = slotsNamed(report);
     const auto shownUntil = now - report.readAge - DispatchMargin;
     std::erase_if(state.begun, [&](Instant at) { return at < shownUntil; });
     state.confirmedUntil =
@@ -82,7 +100,12 @@
     if (!state.known || state.cold || state.suspected || !fresh) {
         // Requests from before the restart was known may fill it beyond its cold slots.
         const bool full = state.running + state.begun.size() >= server.coldSlots && fresh;
-        return full ? 0 : std::min(server.coldSlots, server.slots);
+        // Each request from before the restart was known takes a cold slot away, the same for all.
+        const auto early =
+            std::count_if(state.runningSlots.begin(), state.runningSlots.end(),
+                          [&](std::uint16_t slot) { return slot >= server.coldSlots; });
+        const auto left = std::max<std::int64_t>(0, server.coldSlots - early);
+        return full ? 0 : static_cast<std::uint16_t>(std::min<std::int64_t>(left, server.slots));
     }
     const auto steps =
         std::clamp<std::int64_t>((now - state.warmSince) / RampStep, 0, MaxRampSteps);
--- a/tests/unit/core_tests.cpp
+++ b/tests/unit/core_tests.cpp
@@ -206,6 +206,7 @@
     CPPUNIT_TEST(limit_unknownServer_isCold);
     CPPUNIT_TEST(limit_staleReport_isCold);
     CPPUNIT_TEST(limit_coldAndFull_isNone);
+    CPPUNIT_TEST(limit_coldWithEarlyRun_leavesTheRest);
     CPPUNIT_TEST(limit_suspected_endsWithLaterReport);
     CPPUNIT_TEST_SUITE_END();
 
@@ -241,6 +242,18 @@
         CPPUNIT_ASSERT_EQUAL(std::uint16_t{0}, this->health.slotLimit(this->server, seconds(1)));
     }
 
+    auto limit_coldWithEarlyRun_leavesTheRest() -> void
+    {
+        BackendReport report;
+        report.server = Engine;
+        report.startedAt = 5;
+        report.cold = true;
+        report.running = 1;
+        report.runningIds = {"r1.s5"};
+        this->health.takeReport(report, seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{1}, this->health.slotLimit(this->server, seconds(1)));
+    }
+
     auto limit_suspected_endsWithLaterReport() -> void
     {
         this->report(5, false, 0, seconds(1));
