Servers that change their service; estimates that never fitted the deadline

Found by reading: a server moved to another service by a configuration kept its slots filed under the old one, so a request could be sent to a server of the wrong service; and a request whose largest possible answer (max_tokens) is above its deadline was refused even on an idle fleet.

--- a/include/banyanring/core/node_base.h
+++ b/include/banyanring/core/node_base.h
@@ -166,6 +166,7 @@
         bool probation = false; ///< Runs alone among requests with its fingerprint.
         OrganisationId organisation = 0;
         std::uint64_t fingerprint = 0;
+        Instant arrivedAt{};
         Instant expiresAt{};
         std::optional<std::uint64_t> ticket; ///< Sequence number.
         TokenHold tokens;
--- a/include/banyanring/core/slot_rights_base.h
+++ b/include/banyanring/core/slot_rights_base.h
@@ -244,6 +244,7 @@
         ServerId server = 0;
         std::uint16_t first = 0; ///< Least index.
         std::uint16_t end = 0; ///< Above the greatest index.
+        ServiceId service = 0;
         auto operator==(const Block &) const -> bool = default;
     };
 
--- a/src/core/node_admit.cpp
+++ b/src/core/node_admit.cpp
@@ -114,6 +114,7 @@
     call.fingerprint = combine(combine(call.organisation, nameId(event.path)), event.bodyDigest);
     const auto deadline =
         std::min(route->second.deadline, event.deadline.value_or(Duration::max()));
+    call.arrivedAt = this->now;
     call.expiresAt = this->now + deadline;
     this->note(event.requestId, Step::Arrived,
                "tier " + std::to_string(call.tier) + ", tokens " + std::to_string(event.tokens));
--- a/src/core/node_dispatch.cpp
+++ b/src/core/node_dispatch.cpp
@@ -77,7 +77,11 @@
         state.queue.putBack(*entry);
         return false;
     }
-    if (this->now + this->estimate(choice->slot.server, entry->tokens) > call.expiresAt) {
+    // The estimate counts all tokens that the answer may have, so one that never fitted says
+    // little.
+    const auto takes = this->estimate(choice->slot.server, entry->tokens);
+    const bool fitted = call.arrivedAt + takes <= call.expiresAt;
+    if (fitted && this->now + takes > call.expiresAt) {
         this->refuse(call.id, {Outcome::NotRun, Reason::Expired, {}});
         return true;
     }
--- a/src/core/slot_rights.cpp
+++ b/src/core/slot_rights.cpp
@@ -123,7 +123,7 @@
     for (std::size_t index = 0; index < this->blocks.size(); ++index) {
         const auto node = this->holderMap.holder(index);
         if (node != this->self && node != 0) {
-            holders.emplace(this->config->servers.at(this->blocks[index].server).service, node);
+            holders.emplace(this->blocks[index].service, node);
         }
     }
     this->lendersByService.clear();
@@ -144,8 +144,8 @@
         const std::uint32_t count = all.servers.at(id).slots;
         for (std::uint32_t first = 0; first < count; first += this->settings.slotBlock) {
             const auto end = std::min(count, first + this->settings.slotBlock);
-            result.push_back(
-                {id, static_cast<std::uint16_t>(first), static_cast<std::uint16_t>(end)});
+            result.push_back({id, static_cast<std::uint16_t>(first),
+                              static_cast<std::uint16_t>(end), all.servers.at(id).service});
         }
     }
     return result;
@@ -175,7 +175,9 @@
     }
     std::vector<SlotRef> lost;
     for (const auto &[ref, slot] : this->slots) {
-        if (slot.held && !own.contains(ref)) {
+        const bool stays =
+            own.contains(ref) && slot.service == newConfig->servers.at(ref.server).service;
+        if (slot.held && !stays) {
             lost.push_back(ref);
         }
     }
--- a/tests/unit/core_tests.cpp
+++ b/tests/unit/core_tests.cpp
@@ -374,6 +374,8 @@
     CPPUNIT_TEST(request_connectRefused_triedAgain);
     CPPUNIT_TEST(config_olderRevision_ignored);
     CPPUNIT_TEST(dispatch_afterPause_notUnderOldRights);
+    CPPUNIT_TEST(request_serverChangedService_notSentThere);
+    CPPUNIT_TEST(request_estimateAboveDeadline_stillDispatched);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -467,6 +469,37 @@
         CPPUNIT_ASSERT_EQUAL(Revision{2}, this->node.config()->revision);
     }
 
+    auto request_serverChangedService_notSentThere() -> void
+    {
+        auto config = smallConfig(3);
+        const auto other = nameId("other");
+        config->services[other] = {"other", other, BackendKind::Engine, seconds(20), 1000};
+        config->routes["/other"] = {"/other", other, 1, true, false, seconds(10)};
+        config->servers[Engine].service = other;
+        this->node.handle(ConfigRead{config}, this->now);
+        CPPUNIT_ASSERT(first<Refuse>(this->send(1, "/draft"))->refusal.reason == Reason::NoServer);
+        for (int step = 0; step < 100; ++step) {
+            this->now += milliseconds(500);
+            this->tick();
+        }
+        CPPUNIT_ASSERT(first<Dispatch>(this->send(2, "/other")) != nullptr);
+    }
+
+    auto request_estimateAboveDeadline_stillDispatched() -> void
+    {
+        const auto run = *first<Dispatch>(this->send(1, "/draft"));
+        this->now += seconds(1);
+        this->node.handle(BackendEnded{run.dispatch, 200, nullptr, 1, ""}, this->now);
+        this->tick();
+        CPPUNIT_ASSERT(first<Dispatch>(this->send(2, "/draft")) != nullptr);
+        RequestArrived event;
+        event.call = 3;
+        event.keyDigest = "key";
+        event.path = "/draft";
+        event.tokens = 5000;
+        CPPUNIT_ASSERT(first<Dispatch>(this->node.handle(event, this->now)) != nullptr);
+    }
+
     auto dispatch_afterPause_notUnderOldRights() -> void
     {
         Node peered(NodeSettings{}, {1, 1, 1, {}}, Instant{});
