--- a/src/tool/commands_fleet.cpp
+++ b/src/tool/commands_fleet.cpp
@@ -2,6 +2,9 @@
 #include "commands.h"
 
 #include <cpprest/http_client.h>
+#include <cpprest/interopstream.h>
+#include <cpprest/rawptrstream.h>
+#include <cpprest/streams.h>
 #include <iomanip>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -57,25 +60,42 @@
               << "\n";
 }
 
-/** Prints the answer and gives the exit status. */
+/** Prints the answer, as it arrives unless JSON is wanted, and gives the exit status. */
 auto printAnswer(const Arguments &arguments, const http_response &response) -> int
 {
-    const auto body = response.extract_utf8string(true).get();
     const auto id = response.headers().find("X-Banyan-Request-Id");
     const auto requestId = id == response.headers().end() ? std::string{} : id->second;
     if (arguments.json) {
         std::cout << ordered_json{{"status", response.status_code()},
                                   {"request_id", requestId},
-                                  {"body", body}}
+                                  {"body", response.extract_utf8string(true).get()}}
                          .dump(2)
                   << "\n";
     } else {
-        std::cout << body << "\n";
+        const concurrency::streams::stdio_ostream<std::uint8_t> out(std::cout);
+        response.body().read_to_end(out.streambuf()).get();
+        std::cout << std::endl;
         std::cerr << "status " << response.status_code() << ", request " << requestId << "\n";
     }
     return response.status_code() == web::http::status_codes::OK ? ExitDone : ExitNot;
 }
 
+/** Sends to the addresses in turn until one answers; only a ticket allows that after a failure. */
+auto sendInTurn(const std::vector<std::string> &addresses,
+                const std::function<http_request()> &makeRequest, bool hasTicket) -> http_response
+{
+    for (std::size_t index = 0;; ++index) {
+        try {
+            return call(addresses.at(index), makeRequest());
+        } catch (const std::exception &error) {
+            if (!hasTicket || index + 1 >= addresses.size()) {
+                throw;
+            }
+            std::cerr << addresses.at(index) << ": " << error.what() << "; next address\n";
+        }
+    }
+}
+
 } // namespace
 
 auto httpGet(const std::string &address, const std::string &path) -> std::string
@@ -181,20 +201,27 @@
         std::cout << where.dump() << "\n";
         return ExitNot;
     }
-    const auto entry = where["addresses"].front().get<std::string>();
-    auto request = keyedRequest(web::http::methods::POST, words[1], key);
-    request.set_body(words[3], "application/json");
+    const auto addresses = where["addresses"].get<std::vector<std::string>>();
+    std::string ticket;
     if (wantsTicket) {
         auto ask = keyedRequest(web::http::methods::POST, "/v1/tickets", key);
         ask.set_body(json{{"path", words[1]}}.dump(), "application/json");
-        const auto given = json::parse(call(entry, ask).extract_utf8string(true).get());
+        const auto given = json::parse(call(addresses.front(), ask).extract_utf8string(true).get());
         if (!given.contains("ticket")) {
             std::cout << given.dump() << "\n";
             return ExitNot;
         }
-        request.headers().add("X-Banyan-Ticket", given["ticket"].get<std::string>());
+        ticket = given["ticket"].get<std::string>();
     }
-    return printAnswer(arguments, call(entry, request));
+    const auto makeRequest = [&] {
+        auto request = keyedRequest(web::http::methods::POST, words[1], key);
+        request.set_body(words[3], "application/json");
+        if (!ticket.empty()) {
+            request.headers().add("X-Banyan-Ticket", ticket);
+        }
+        return request;
+    };
+    return printAnswer(arguments, sendInTurn(addresses, makeRequest, wantsTicket));
 }
 
 } // namespace banyanring::tool
