--- /dev/null
+++ b/include/banyanring/fleet/limit_shares.h
@@ -0,0 +1,187 @@
+/** @file limit_shares.h This node's shares of the fleet-wide limits. */
+#pragma once
+
+#include "banyanring/fleet/environment_type.h"
+#include "banyanring/fleet/fleet_config_type.h"
+#include "banyanring/fleet/peer_state_type.h"
+
+#include <array>
+#include <deque>
+#include <string_view>
+
+namespace banyanring::fleet {
+
+/** Counts events over a sliding window, in buckets. */
+class WindowCounter
+{
+public:
+    /** @param window Length of the window. */
+    explicit WindowCounter(Duration window) : bucketLength(window / Buckets) {}
+
+    /**
+     * Adds to the present bucket.
+     * @param amount What to add.
+     * @param now The present.
+     */
+    auto add(double amount, Instant now) -> void;
+
+    /**
+     * Sums the window.
+     * @param now The present.
+     * @return The sum.
+     */
+    auto sum(Instant now) -> double;
+
+private:
+    static constexpr int Buckets = 10; ///< Granularity of a tenth of the window.
+    auto advance(Instant now) -> void;
+
+    Duration bucketLength;
+    std::array<double, Buckets + 1> amounts{}; ///< One more, so that the window is never short.
+    std::int64_t newest = 0; ///< Number of the present bucket since the origin.
+};
+
+/**
+ * Organisations' limits. Each node keeps an estimate of one bucket for the whole fleet: it refills
+ * at the part of the rate that the nodes in contact may use, and both own and peers' admissions
+ * are drawn from it. Gossip is late, so the sum passes the limit by what is admitted meanwhile.
+ */
+class QuotaLedger
+{
+public:
+    /** @param fleetBounds Bounds of the fleet. */
+    explicit QuotaLedger(const FleetBounds &fleetBounds) : bounds(fleetBounds) {}
+
+    /**
+     * Counts a request's units.
+     * @param organisation Its organisation.
+     * @param units Its units.
+     * @param part Part of the limit that the nodes in contact may use.
+     * @param now The present.
+     * @return Whether it is within the limit; nothing is counted otherwise.
+     */
+    auto admit(const OrganisationRule &organisation, double units, double part, Instant now)
+        -> bool;
+
+    /**
+     * Gives back what a request that did not run was counted with.
+     * @param organisation Its organisation.
+     * @param units Its units.
+     */
+    auto giveBack(std::string_view organisation, double units) -> void;
+
+    /**
+     * Tells when an organisation that was refused can be admitted again.
+     * @param organisation The organisation.
+     * @param units Units of the request.
+     * @param part Part of the limit that the nodes in contact may use.
+     * @return Time from now.
+     */
+    auto retryAfter(const OrganisationRule &organisation, double units, double part) const
+        -> Duration;
+
+    /**
+     * Draws what a peer has admitted since its last statement.
+     * @param peer The peer's incarnation.
+     * @param spends What it stated.
+     */
+    auto takePeer(std::uint64_t peer, const std::vector<SpendStatement> &spends) -> void;
+
+    /** @return What this node has admitted of each organisation since its start. */
+    auto ownSpends() const -> std::vector<SpendStatement>;
+
+private:
+    /** An organisation's bucket. */
+    struct Bucket
+    {
+        double level = 0; ///< Units left; negative after late news from peers.
+        double ownTotal = 0; ///< Units that this node has admitted.
+        Instant refilledAt{};
+        bool begun = false;
+    };
+
+    auto tolerance(const OrganisationRule &organisation) const -> double;
+
+    FleetBounds bounds;
+    std::unordered_map<std::uint32_t, Bucket> buckets;
+    std::map<std::pair<std::uint64_t, std::uint32_t>, double> peerTotals;
+};
+
+/** The share of repeats of one node, for each service. */
+class RetryShare
+{
+public:
+    /** @param fleetBounds Bounds of the fleet. */
+    explicit RetryShare(const FleetBounds &fleetBounds) : bounds(fleetBounds) {}
+
+    /**
+     * Counts a request's first dispatch.
+     * @param service Its service.
+     * @param now The present.
+     */
+    auto noteRequest(const std::string &service, Instant now) -> void;
+
+    /**
+     * Takes one repeat out of the share.
+     * @param service Its service.
+     * @param fleetSize Nodes that share the bound.
+     * @param now The present.
+     * @return Whether the share allows it.
+     */
+    auto take(const std::string &service, std::size_t fleetSize, Instant now) -> bool;
+
+private:
+    /** Counters of a service. */
+    struct Counters
+    {
+        WindowCounter requests;
+        WindowCounter repeats;
+    };
+
+    auto counters(const std::string &service) -> Counters &;
+
+    FleetBounds bounds;
+    std::unordered_map<std::string, Counters> services;
+};
+
+/** The share of requests to cold servers of one node. */
+class ColdShare
+{
+public:
+    /** @param fleetBounds Bounds of the fleet. */
+    explicit ColdShare(const FleetBounds &fleetBounds) : bounds(fleetBounds) {}
+
+    /**
+     * Gives the number of nodes that may send to one cold server.
+     * @param service The server's service.
+     * @param fleetSize Nodes of the fleet.
+     * @return The number, at least one.
+     */
+    auto owners(const ServiceRule &service, std::size_t fleetSize) const -> std::size_t;
+
+    /**
+     * Tells whether an owner may send one more request to a cold server.
+     * @param server Number of the server.
+     * @param service Its service.
+     * @param fleetSize Nodes of the fleet.
+     * @param now The present.
+     * @return Whether it may.
+     */
+    auto allows(std::uint32_t server, const ServiceRule &service, std::size_t fleetSize,
+                Instant now) -> bool;
+
+    /**
+     * Counts a request to a cold server.
+     * @param server Number of the server.
+     * @param now The present.
+     */
+    auto note(std::uint32_t server, Instant now) -> void;
+
+private:
+    auto total(const ServiceRule &service) const -> double;
+
+    FleetBounds bounds;
+    std::unordered_map<std::uint32_t, std::deque<Instant>> sent;
+};
+
+} // namespace banyanring::fleet
--- /dev/null
+++ b/include/banyanring/fleet/peer_state_type.h
@@ -0,0 +1,66 @@
+/** @file peer_state_type.h What the nodes tell each other. */
+#pragma once
+
+#include "banyanring/core/ids_type.h"
+
+#include <string>
+#include <vector>
+
+namespace banyanring::fleet {
+
+/** How far a node is in its life. */
+enum class NodePhase : std::uint8_t {
+    Starting, ///< Has no configuration yet.
+    Ready, ///< Serves callers.
+    Draining, ///< Is stopping.
+};
+
+/** What a node states of itself; relayed by others with its age. */
+struct NodeStatement
+{
+    std::string peerAddress; ///< "IP:port" between nodes; names the node.
+    std::string entryAddress; ///< "IP:port" for callers.
+    std::string domain; ///< Failure domain.
+    std::uint64_t incarnation = 0; ///< Random; one start of the process.
+    std::uint64_t sequence = 0; ///< Grows with each statement of an incarnation.
+    NodePhase phase = NodePhase::Starting; ///< Life.
+    std::uint64_t configVersion = 0; ///< Configuration in force there.
+    std::uint64_t storeRevision = 0; ///< Revision that its mirror of the store has reached.
+    bool storeReached = false; ///< It reached the store lately.
+    Duration age{}; ///< Time since it was stated, added up over the hops.
+};
+
+/** A node's own work at a backend server. */
+struct LoadStatement
+{
+    std::uint32_t server = 0; ///< Number of the server.
+    std::uint32_t requests = 0; ///< Requests sent and not ended.
+    std::uint32_t promptTokens = 0; ///< Prompt tokens of those without a first byte.
+};
+
+/** What a node has admitted of an organisation since its start. */
+struct SpendStatement
+{
+    std::uint32_t organisation = 0; ///< nameId of the organisation.
+    double units = 0; ///< Units, since the incarnation began.
+};
+
+/** A request that was running when backend servers crashed. */
+struct SuspectStatement
+{
+    std::uint64_t fingerprint = 0; ///< Hash of path, caller and body.
+    std::vector<std::uint32_t> servers; ///< Numbers of the servers.
+};
+
+/** One gossip message. */
+struct GossipMessage
+{
+    NodeStatement sender; ///< The sender itself; its age is zero.
+    std::vector<NodeStatement> others; ///< A sample of what it knows of others.
+    std::vector<LoadStatement> loads; ///< The sender's own work.
+    std::vector<SpendStatement> spends; ///< The sender's own admissions.
+    std::vector<SuspectStatement> suspects; ///< Fresh ones, from anywhere.
+    bool replyWanted = false; ///< The sender is new and asks for an answer at once.
+};
+
+} // namespace banyanring::fleet
--- /dev/null
+++ b/include/banyanring/fleet/placement.h
@@ -0,0 +1,62 @@
+/** @file placement.h Chooses the backend server for a request. */
+#pragma once
+
+#include "banyanring/fleet/server_book.h"
+
+#include <functional>
+#include <span>
+
+namespace banyanring::fleet {
+
+/** What a request will cost a server, as far as it tells. */
+struct RequestShape
+{
+    bool engine = false; ///< For a model engine.
+    double promptTokens = 0; ///< Prompt tokens.
+    double outputTokens = 0; ///< Most output tokens.
+};
+
+/** A choice, or why there is none. */
+struct Choice
+{
+    ServerPtr server; ///< Null if no server can take the request now.
+    bool anyUsable = false; ///< Some server may be used, though it may be full or cold.
+    bool halfFree = false; ///< At least half of the usable servers' slots are free.
+};
+
+/** Decides whether a cold server may get a request from this node now. */
+using ColdGate = std::function<bool(const Server &)>;
+
+/**
+ * Chooses the server with the least expected cost among those with a free slot.
+ * @param servers Servers of the service.
+ * @param shape The request.
+ * @param usable Whether a server may get work at all.
+ * @param coldGate Whether a cold server may get one more request.
+ * @param now The present.
+ * @return The choice.
+ */
+auto choosePlacement(std::span<const ServerPtr> servers, const RequestShape &shape,
+                     const std::function<bool(const Server &)> &usable, const ColdGate &coldGate,
+                     Instant now) -> Choice;
+
+/**
+ * Learns from a whole answer.
+ * @param server The server.
+ * @param shape The request.
+ * @param tokensAhead Prompt tokens that waited at the server when it was sent, its own included.
+ * @param firstByte Time from sending to the first byte of the answer.
+ * @param rest Time from there to the end.
+ */
+auto learnPace(Server &server, const RequestShape &shape, double tokensAhead, Duration firstByte,
+               Duration rest) -> void;
+
+/**
+ * Expects the time to the first event of a request on a server.
+ * @param server The server.
+ * @param shape The request.
+ * @return Milliseconds; a cautious default while the server is unknown.
+ */
+auto expectedFirstMs(const Server &server, const RequestShape &shape) -> double;
+
+} // namespace banyanring::fleet
--- /dev/null
+++ b/include/banyanring/gateway/gossip_codec.h
@@ -0,0 +1,48 @@
+/** @file gossip_codec.h Messages between nodes as msgpack. */
+#pragma once
+
+#include "banyanring/fleet/peer_state_type.h"
+#include "banyanring/fleet/published_book.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace banyanring::gateway {
+
+/**
+ * Encodes a gossip message.
+ * @param message The message.
+ * @return Its bytes, to be sent in one datagram.
+ */
+auto encodeGossip(const fleet::GossipMessage &message) -> std::string;
+
+/**
+ * Decodes a gossip message.
+ * @param bytes Received bytes.
+ * @return The message; nothing if the bytes are none.
+ */
+auto decodeGossip(std::string_view bytes) -> std::optional<fleet::GossipMessage>;
+
+/**
+ * Encodes a mirror of the store.
+ * @param mirror The mirror.
+ * @return Its bytes.
+ */
+auto encodeMirror(const fleet::PublishedBook &mirror) -> std::string;
+
+/** A mirror that a peer gave. */
+struct PeerMirror
+{
+    fleet::PublishedBook::Items items; ///< All items.
+    std::uint64_t revision = 0; ///< Store revision that it has reached.
+};
+
+/**
+ * Decodes a mirror of the store.
+ * @param bytes Received bytes.
+ * @return The mirror; nothing if the bytes are none.
+ */
+auto decodeMirror(std::string_view bytes) -> std::optional<PeerMirror>;
+
+} // namespace banyanring::gateway
--- /dev/null
+++ b/include/banyanring/gateway/scheduler.h
@@ -0,0 +1,132 @@
+/** @file scheduler.h The decisions of one node: admits, queues and places requests. */
+#pragma once
+
+#include "banyanring/fleet/admission_queue.h"
+#include "banyanring/fleet/config_book.h"
+#include "banyanring/fleet/crash_suspects.h"
+#include "banyanring/fleet/fleet_members.h"
+#include "banyanring/fleet/limit_shares.h"
+#include "banyanring/fleet/placement.h"
+#include "banyanring/fleet/server_book.h"
+#include "banyanring/gateway/request_metrics.h"
+#include "banyanring/gateway/scheduler_ports.h"
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+#include <unordered_map>
+
+namespace banyanring::gateway {
+
+class RequestRun;
+
+/** What the decisions stand on; shared with the adapters that fill it. */
+struct NodeBooks
+{
+    /**
+     * @param environment What the settings say.
+     * @param now Start of the process.
+     */
+    NodeBooks(const fleet::Environment &environment, Instant now);
+
+    fleet::ConfigBook config; ///< In force.
+    fleet::ServerBook servers; ///< Backend servers.
+    fleet::FleetMembers members; ///< Other nodes.
+    fleet::QuotaLedger quotas; ///< Organisations' limits.
+    fleet::RetryShare retries; ///< Repeats.
+    fleet::ColdShare colds; ///< Requests to cold servers.
+    fleet::CrashSuspects suspects; ///< Requests that crash servers.
+};
+
+/** Runs the requests of one node. Has no socket and no clock: both come through ports. */
+class Scheduler
+{
+public:
+    /**
+     * @param books What the decisions stand on; must outlive this object.
+     * @param serverPort Sends requests to servers.
+     * @param clock Gives the present.
+     * @param seed Seed of what is left to chance.
+     */
+    Scheduler(NodeBooks &books, ServerPort &serverPort, std::function<Instant()> clock,
+              std::uint64_t seed);
+    ~Scheduler();
+    Scheduler(const Scheduler &) = delete;
+    auto operator=(const Scheduler &) -> Scheduler & = delete;
+
+    /**
+     * Takes a caller's request.
+     * @param caller Where the answer goes.
+     * @param request The request.
+     * @return Its run.
+     */
+    auto accept(CallerPortPtr caller, CallerRequest request) -> std::uint64_t;
+
+    /**
+     * Notes that a caller has left.
+     * @param run The run of its request.
+     */
+    auto callerGone(std::uint64_t run) -> void;
+
+    /** Checks time limits and tries to place what waits; to be called some times a second. */
+    auto tick() -> void;
+
+    /** Tries to place waiting requests of all services, after the books have changed. */
+    auto placeAll() -> void;
+
+    /** @return Requests in progress. */
+    auto openRuns() const -> std::size_t
+    {
+        return this->runs.size();
+    }
+
+    /** @return Requests that wait for a slot. */
+    auto waitingRuns() const -> std::size_t;
+
+    /** Requests are refused from now on: the process is about to end. */
+    auto stopAccepting() -> void
+    {
+        this->refusing = true;
+    }
+
+    RequestMetrics metrics; ///< What became of the requests.
+
+private:
+    friend class RequestRun;
+
+    /** Time over which the speed of a queue is measured: some dozens of requests. */
+    static constexpr Duration RateWindow = std::chrono::seconds(2);
+
+    /** Waiting requests of a service and how fast they are served. */
+    struct ServiceQueue
+    {
+        fleet::AdmissionQueue waiting;
+        fleet::WindowCounter sent{RateWindow}; ///< Dispatches of late.
+    };
+
+    auto queueOf(const std::string &service) -> ServiceQueue &
+    {
+        return this->queues[service];
+    }
+    auto settle() -> void;
+    auto place(const std::string &service) -> void;
+    auto reap() -> void;
+    auto usable(const fleet::Server &server, Instant now) const -> bool;
+    auto expectedWait(const std::string &service, std::uint32_t tier) -> Duration;
+
+    NodeBooks &books;
+    ServerPort &serverPort;
+    std::function<Instant()> clock;
+    std::mt19937_64 random;
+    std::uint64_t nextRun = 1;
+    bool refusing = false;
+    bool settling = false;
+    std::unordered_map<std::uint64_t, std::unique_ptr<RequestRun>> runs;
+    std::unordered_map<std::string, ServiceQueue> queues;
+    std::set<std::string> dirty; ///< Services whose queue may move.
+    std::vector<std::uint64_t> finished; ///< Runs to be destroyed, outside of their own calls.
+    std::vector<std::unique_ptr<Exchange>> retired; ///< Likewise.
+};
+
+} // namespace banyanring::gateway
--- a/src/adapters/log.cpp
+++ b/src/adapters/log.cpp
@@ -3,8 +3,10 @@
 
 #include "banyanring/ports/clock_func.h"
 
+#include <array>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <spdlog/async.h>
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
@@ -13,14 +15,17 @@
 
 namespace {
 
+constexpr std::size_t BufferedLines = 4096; ///< Lines that wait for the writing thread.
+constexpr std::chrono::seconds FlushInterval{1}; ///< A reader sees a line within it.
+
 /** State of the log of this process. */
 struct LogState
 {
     std::mutex mutex;
-    std::uint16_t node = 0;
-    std::int64_t limit = 0; ///< Lines a second.
+    std::string node;
+    std::int64_t limit = 0; ///< Calm lines a second.
     std::int64_t second = 0; ///< The running second.
-    std::int64_t lines = 0; ///< Lines in it.
+    std::array<std::int64_t, 2> lines{}; ///< Lines in it, by class.
     std::int64_t dropped = 0;
 };
 
@@ -32,39 +37,50 @@
 }
 
 /** @return Lines dropped before this one, or -1 if this one has to be dropped as well. */
-auto admitLine() -> std::int64_t
+auto admitLine(LogClass logClass) -> std::int64_t
 {
     auto &state = logState();
     const std::scoped_lock lock(state.mutex);
     const auto second = std::chrono::duration_cast<std::chrono::seconds>(bootNow()).count();
     if (second != state.second) {
         state.second = second;
-        state.lines = 0;
+        state.lines = {};
     }
-    if (state.lines >= state.limit) {
+    const auto index = static_cast<std::size_t>(logClass);
+    const auto limit = logClass == LogClass::Calm ? state.limit : 2 * state.limit;
+    if (state.lines.at(index) >= limit) {
         ++state.dropped;
         return -1;
     }
-    ++state.lines;
+    ++state.lines.at(index);
     return std::exchange(state.dropped, 0);
 }
 
 } // namespace
 
-auto openLog(const std::string &file, std::uint16_t node, std::int64_t linesPerSecond) -> void
+auto openLog(const std::string &file, const std::string &node, std::int64_t linesPerSecond) -> void
 {
     logState().node = node;
     logState().limit = linesPerSecond;
-    auto logger = file == "-" ? spdlog::stdout_logger_mt("banyanring")
-                              : spdlog::basic_logger_mt("banyanring", file);
+    spdlog::init_thread_pool(BufferedLines, 1);
+    auto logger = file == "-" ? spdlog::create_async_nb<spdlog::sinks::stdout_sink_st>("banyanring")
+                              : spdlog::create_async_nb<spdlog::sinks::basic_file_sink_st>(
+                                  "banyanring", file);
     logger->set_pattern("%v");
-    logger->flush_on(spdlog::level::info);
+    logger->flush_on(spdlog::level::warn);
     spdlog::set_default_logger(logger);
+    spdlog::flush_every(FlushInterval);
+}
+
+auto flushLog() -> void
+{
+    spdlog::shutdown();
 }
 
-auto logEvent(std::string_view event, std::initializer_list<LogField> fields) -> void
+auto logEvent(std::string_view event, std::initializer_list<LogField> fields, LogClass logClass)
+    -> void
 {
-    const auto dropped = admitLine();
+    const auto dropped = admitLine(logClass);
     if (dropped < 0) {
         return;
     }
@@ -74,12 +90,15 @@
     line["node"] = logState().node;
     line["event"] = event;
     for (const auto &[name, value] : fields) {
-        line[std::string(name)] = value;
+        std::visit([&line, name = name](
+                       const auto &held) { line[std::string(name)] = held; },
+                   value);
     }
     if (dropped > 0) {
         line["lines_dropped"] = dropped;
     }
-    spdlog::info("{}", line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    const auto text = line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    spdlog::log(logClass == LogClass::Calm ? spdlog::level::info : spdlog::level::warn, "{}", text);
 }
 
 } // namespace banyanring
--- /dev/null
+++ b/src/fleet/admission_queue.cpp
@@ -0,0 +1,83 @@
+/** @file admission_queue.cpp Requests of one service that wait for a free slot. */
+#include "banyanring/fleet/admission_queue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace banyanring::fleet {
+
+namespace {
+
+/** An organisation's earlier use counts half after it; a burst is to be felt for seconds. */
+constexpr Duration UsageHalfLife = std::chrono::seconds(3);
+
+} // namespace
+
+auto AdmissionQueue::push(const QueuedRequest &request) -> void
+{
+    this->waiting.push_back(request);
+}
+
+auto AdmissionQueue::remove(std::uint64_t run) -> bool
+{
+    return std::erase_if(this->waiting, [run](const auto &item) { return item.run == run; }) > 0;
+}
+
+auto AdmissionQueue::usage(std::uint32_t organisation, Instant now) const -> double
+{
+    const auto found = this->usages.find(organisation);
+    if (found == this->usages.end()) {
+        return 0;
+    }
+    const auto halves = std::chrono::duration<double>(now - found->second.at)
+                        / std::chrono::duration<double>(UsageHalfLife);
+    return found->second.cost * std::exp2(-halves);
+}
+
+auto AdmissionQueue::order(Instant now) const -> std::vector<std::uint64_t>
+{
+    using Rank = std::tuple<bool, std::uint32_t, double, Instant, std::uint64_t>;
+    std::vector<Rank> ranks;
+    ranks.reserve(this->waiting.size());
+    for (const auto &item : this->waiting) {
+        ranks.emplace_back(item.dueAt < now, item.tier, this->usage(item.organisation, now),
+                           item.dueAt, item.run);
+    }
+    std::sort(ranks.begin(), ranks.end());
+    std::vector<std::uint64_t> runs;
+    runs.reserve(ranks.size());
+    for (const auto &rank : ranks) {
+        runs.push_back(std::get<std::uint64_t>(rank));
+    }
+    return runs;
+}
+
+auto AdmissionQueue::noteServed(std::uint32_t organisation, double cost, Instant now) -> void
+{
+    const auto earlier = this->usage(organisation, now);
+    this->usages[organisation] = {earlier + cost, now};
+}
+
+auto AdmissionQueue::takeExpired(Instant now) -> std::vector<std::uint64_t>
+{
+    std::vector<std::uint64_t> runs;
+    std::erase_if(this->waiting, [&](const auto &item) {
+        if (item.refuseAt > now) {
+            return false;
+        }
+        runs.push_back(item.run);
+        return true;
+    });
+    return runs;
+}
+
+auto AdmissionQueue::ahead(std::uint32_t tier, Instant now) const -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->waiting.begin(), this->waiting.end(), [&](const auto &item) {
+            return item.tier <= tier && item.dueAt >= now;
+        }));
+}
+
+} // namespace banyanring::fleet
--- /dev/null
+++ b/src/fleet/limit_shares.cpp
@@ -0,0 +1,177 @@
+/** @file limit_shares.cpp This node's shares of the fleet-wide limits. */
+#include "banyanring/fleet/limit_shares.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace banyanring::fleet {
+
+namespace {
+
+/** Part of the tolerated overshoot that is used on purpose; the rest is for late gossip. */
+constexpr double UsedTolerance = 0.25;
+constexpr double FirstLevel = 0.25; ///< Part of the burst that a new bucket starts with.
+constexpr double RetryMargin = 0.8; ///< Part of the share used; restarted nodes count anew.
+constexpr double ColdMargin = 0.85; ///< Part of the cold bound used; clocks of bursts differ.
+constexpr std::size_t MostColdOwners = 5; ///< Few enough to leave each several requests a second.
+constexpr Duration ColdWindow = std::chrono::milliseconds(1050); ///< The bound's second, jittered.
+constexpr Duration LeastRetryAfter = std::chrono::milliseconds(200); ///< Below, a retry is early.
+
+} // namespace
+
+auto WindowCounter::advance(Instant now) -> void
+{
+    const std::int64_t number = now / this->bucketLength;
+    const auto size = static_cast<std::int64_t>(this->amounts.size());
+    for (auto next = std::max(this->newest + 1, number - size + 1); next <= number; ++next) {
+        this->amounts.at(static_cast<std::size_t>(next % size)) = 0;
+    }
+    this->newest = std::max(this->newest, number);
+}
+
+auto WindowCounter::add(double amount, Instant now) -> void
+{
+    this->advance(now);
+    const auto size = static_cast<std::int64_t>(this->amounts.size());
+    this->amounts.at(static_cast<std::size_t>(this->newest % size)) += amount;
+}
+
+auto WindowCounter::sum(Instant now) -> double
+{
+    this->advance(now);
+    double result = 0;
+    for (const auto amount : this->amounts) {
+        result += amount;
+    }
+    return result;
+}
+
+auto QuotaLedger::tolerance(const OrganisationRule &organisation) const -> double
+{
+    const auto window = std::chrono::duration<double>(this->bounds.quotaWindow).count();
+    const double limit = organisation.ratePerSecond * window + organisation.burst;
+    const double slack = organisation.countsTokens ? this->bounds.quotaSlack : 0;
+    return UsedTolerance * (limit * this->bounds.quotaOvershoot + slack);
+}
+
+auto QuotaLedger::admit(const OrganisationRule &organisation, double units, double part,
+                        Instant now) -> bool
+{
+    auto &bucket = this->buckets[nameId(organisation.name)];
+    if (organisation.ratePerSecond > 0) {
+        const double burst = organisation.burst * part;
+        if (!bucket.begun) {
+            bucket.begun = true;
+            bucket.level = burst * FirstLevel;
+            bucket.refilledAt = now;
+        }
+        const auto passed = std::chrono::duration<double>(now - bucket.refilledAt).count();
+        bucket.refilledAt = now;
+        bucket.level =
+            std::min(burst, bucket.level + passed * organisation.ratePerSecond * part);
+        if (bucket.level - units < -this->tolerance(organisation) * part) {
+            return false;
+        }
+    }
+    bucket.level -= units;
+    bucket.ownTotal += units;
+    return true;
+}
+
+auto QuotaLedger::giveBack(std::string_view organisation, double units) -> void
+{
+    auto &bucket = this->buckets[nameId(organisation)];
+    bucket.level += units;
+    bucket.ownTotal -= units;
+}
+
+auto QuotaLedger::retryAfter(const OrganisationRule &organisation, double units, double part) const
+    -> Duration
+{
+    const auto found = this->buckets.find(nameId(organisation.name));
+    if (found == this->buckets.end() || organisation.ratePerSecond <= 0) {
+        return LeastRetryAfter;
+    }
+    const double missing = units - found->second.level - this->tolerance(organisation) * part;
+    const double wait = missing / (organisation.ratePerSecond * std::max(part, 0.01));
+    return std::max(LeastRetryAfter, Duration(static_cast<std::int64_t>(wait * 1e6)));
+}
+
+auto QuotaLedger::takePeer(std::uint64_t peer, const std::vector<SpendStatement> &spends) -> void
+{
+    for (const auto &spend : spends) {
+        const auto [known, added] = this->peerTotals.try_emplace(
+            std::pair(peer, spend.organisation), spend.units);
+        const double fresh = spend.units - known->second;
+        known->second = spend.units;
+        if (!added && fresh != 0) {
+            this->buckets[spend.organisation].level -= fresh;
+        }
+    }
+}
+
+auto QuotaLedger::ownSpends() const -> std::vector<SpendStatement>
+{
+    std::vector<SpendStatement> result;
+    for (const auto &[organisation, bucket] : this->buckets) {
+        if (bucket.ownTotal > 0) {
+            result.push_back({organisation, bucket.ownTotal});
+        }
+    }
+    return result;
+}
+
+auto RetryShare::counters(const std::string &service) -> Counters &
+{
+    const auto window = this->bounds.retryWindow;
+    return this->services
+        .try_emplace(service, Counters{WindowCounter(window), WindowCounter(window)})
+        .first->second;
+}
+
+auto RetryShare::noteRequest(const std::string &service, Instant now) -> void
+{
+    this->counters(service).requests.add(1, now);
+}
+
+auto RetryShare::take(const std::string &service, std::size_t fleetSize, Instant now) -> bool
+{
+    auto &counters = this->counters(service);
+    const double share = this->bounds.retryRatio * counters.requests.sum(now)
+                         + this->bounds.retrySlack / static_cast<double>(fleetSize);
+    if (counters.repeats.sum(now) + 1 > RetryMargin * share) {
+        return false;
+    }
+    counters.repeats.add(1, now);
+    return true;
+}
+
+auto ColdShare::total(const ServiceRule &service) const -> double
+{
+    return ColdMargin
+           * (service.coldPerSecond * this->bounds.coldOvershoot + this->bounds.coldSlack);
+}
+
+auto ColdShare::owners(const ServiceRule &service, std::size_t fleetSize) const -> std::size_t
+{
+    const auto bearable = static_cast<std::size_t>(std::max(1.0, std::floor(this->total(service))));
+    return std::min({fleetSize, bearable, MostColdOwners});
+}
+
+auto ColdShare::allows(std::uint32_t server, const ServiceRule &service, std::size_t fleetSize,
+                       Instant now) -> bool
+{
+    auto &times = this->sent[server];
+    while (!times.empty() && now - times.front() > ColdWindow) {
+        times.pop_front();
+    }
+    const auto share = this->total(service) / static_cast<double>(this->owners(service, fleetSize));
+    return static_cast<double>(times.size()) + 1 <= share;
+}
+
+auto ColdShare::note(std::uint32_t server, Instant now) -> void
+{
+    this->sent[server].push_back(now);
+}
+
+} // namespace banyanring::fleet
--- /dev/null
+++ b/src/fleet/placement.cpp
@@ -0,0 +1,107 @@
+/** @file placement.cpp Chooses the backend server for a request. */
+#include "banyanring/fleet/placement.h"
+
+#include <algorithm>
+
+namespace banyanring::fleet {
+
+namespace {
+
+constexpr double PaceWeight = 0.15; ///< Weight of one answer in the moving averages.
+/** Paces assumed of a server that has not answered yet: those of a middling engine. */
+constexpr double DefaultPromptMsPerToken = 0.02;
+constexpr double DefaultOutputMsPerToken = 1.0;
+constexpr double DefaultAnswerMs = 60;
+constexpr double BaseMs = 5; ///< Network and admission before a prompt is read.
+/** The time to the end matters less than the time to the first event, which has a target. */
+constexpr double OutputPart = 0.4;
+/** Reading a prompt delays each stream beside it by as much; part of that counted as cost. */
+constexpr double InterferencePart = 0.25;
+constexpr double EjectedPenaltyMs = 100000; ///< Ranks a server set aside behind all others.
+constexpr double MinTokens = 256; ///< Shorter prompts say little about the reading speed.
+
+/** @return @p value, or @p fallback if it is not known. */
+auto known(double value, double fallback) -> double
+{
+    return value > 0 ? value : fallback;
+}
+
+/** Moves an average towards a sample. */
+auto learn(double &average, double sample) -> void
+{
+    average = average > 0 ? average + PaceWeight * (sample - average) : sample;
+}
+
+/** @return Expected cost in milliseconds of a request on a server. */
+auto costOf(const Server &server, const RequestShape &shape, Instant now) -> double
+{
+    const double penalty = now < server.ejectedUntil ? EjectedPenaltyMs : 0;
+    const auto occupied = static_cast<double>(server.occupied(now));
+    if (!shape.engine) {
+        const auto slots = static_cast<double>(std::max(1U, server.entry.slots));
+        return penalty + known(server.pace.answerMs, DefaultAnswerMs) * (1 + occupied / slots);
+    }
+    const double perPrompt = known(server.pace.promptMsPerToken, DefaultPromptMsPerToken);
+    const double perOutput = known(server.pace.outputMsPerToken, DefaultOutputMsPerToken);
+    return penalty + expectedFirstMs(server, shape) + OutputPart * shape.outputTokens * perOutput
+           + InterferencePart * shape.promptTokens * perPrompt * occupied;
+}
+
+} // namespace
+
+auto expectedFirstMs(const Server &server, const RequestShape &shape) -> double
+{
+    if (!shape.engine) {
+        return known(server.pace.answerMs, DefaultAnswerMs);
+    }
+    const double ahead = server.own.promptTokens + server.peers.promptTokens + shape.promptTokens;
+    return BaseMs + ahead * known(server.pace.promptMsPerToken, DefaultPromptMsPerToken);
+}
+
+auto choosePlacement(std::span<const ServerPtr> servers, const RequestShape &shape,
+                     const std::function<bool(const Server &)> &usable, const ColdGate &coldGate,
+                     Instant now) -> Choice
+{
+    Choice choice;
+    double best = 0;
+    std::uint32_t slots = 0;
+    std::uint32_t taken = 0;
+    for (const auto &server : servers) {
+        if (!usable(*server)) {
+            continue;
+        }
+        choice.anyUsable = true;
+        const auto occupied = server->occupied(now);
+        slots += server->entry.slots;
+        taken += std::min(occupied, server->entry.slots);
+        if (occupied >= server->entry.slots || (server->cold(now) && !coldGate(*server))) {
+            continue;
+        }
+        const double cost = costOf(*server, shape, now);
+        if (!choice.server || cost < best) {
+            choice.server = server;
+            best = cost;
+        }
+    }
+    choice.halfFree = choice.anyUsable && 2 * taken < slots;
+    return choice;
+}
+
+auto learnPace(Server &server, const RequestShape &shape, double tokensAhead, Duration firstByte,
+               Duration rest) -> void
+{
+    const double firstMs = static_cast<double>(firstByte.count()) / 1000;
+    const double restMs = static_cast<double>(rest.count()) / 1000;
+    if (!shape.engine) {
+        learn(server.pace.answerMs, firstMs + restMs);
+        return;
+    }
+    if (tokensAhead >= MinTokens) {
+        learn(server.pace.promptMsPerToken, std::max(0.0, firstMs - BaseMs) / tokensAhead);
+    }
+    if (shape.outputTokens > 0 && restMs > 0) {
+        learn(server.pace.outputMsPerToken, restMs / shape.outputTokens);
+    }
+}
+
+} // namespace banyanring::fleet
--- /dev/null
+++ b/src/fleet/server_book.cpp
@@ -0,0 +1,166 @@
+/** @file server_book.cpp What this node knows and believes of each backend server. */
+#include "banyanring/fleet/server_book.h"
+
+#include <algorithm>
+
+namespace banyanring::fleet {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** A server out of reach is tried again after this; the platform restarts one in seconds. */
+constexpr Duration FirstAvoidance = milliseconds(300);
+constexpr Duration LongestAvoidance = milliseconds(2000); ///< A restart takes about that long.
+/** A load report counts for as long as gossip of the same age would be due. */
+constexpr Duration ReportLifetime = milliseconds(150);
+constexpr double FailureWeight = 0.12; ///< Weight of one answer in the failure average.
+constexpr double SampleFade = 0.98; ///< Fading of the number of samples per answer.
+constexpr double EjectSamples = 6; ///< No verdict on fewer answers.
+constexpr double EjectFailures = 0.30; ///< Least failure part for a verdict.
+constexpr double EjectRatio = 2.0; ///< Times the service's average failure part.
+constexpr Duration EjectionTime = milliseconds(3000); ///< Then the server is tried again.
+constexpr std::size_t EjectablePart = 3; ///< At most one in so many servers is set aside.
+
+} // namespace
+
+auto Server::occupied(Instant now) const -> std::uint32_t
+{
+    auto others = this->peers.requests;
+    if (now - this->reportedAt < ReportLifetime) {
+        others = std::max(others, this->reportedOthers);
+    }
+    return this->own.requests + others;
+}
+
+auto ServerBook::takeEntry(const ServerEntry &entry, Duration coldFor, Instant now) -> bool
+{
+    auto &server = this->servers[entry.id];
+    const bool known = server != nullptr && server->entry.address == entry.address
+                       && server->entry.service == entry.service
+                       && server->entry.bornMs == entry.bornMs;
+    if (!known) {
+        server = std::make_shared<Server>();
+        server->number = nameId(entry.id);
+        server->coldUntil = now + coldFor;
+        server->entry = entry;
+        this->rebuildIndex();
+    }
+    const bool changed = !known || server->entry.draining != entry.draining
+                         || server->removeAt != Never;
+    server->entry = entry;
+    server->removeAt = Never;
+    if (entry.coldLeft > Duration(0)) {
+        server->coldUntil = std::max(server->coldUntil, now + entry.coldLeft);
+    }
+    return changed;
+}
+
+auto ServerBook::loseEntry(std::string_view id, Instant useUntil) -> void
+{
+    const auto found = this->servers.find(id);
+    if (found != this->servers.end()) {
+        found->second->removeAt = std::min(found->second->removeAt, useUntil);
+    }
+}
+
+auto ServerBook::expire(Instant now) -> std::vector<std::string>
+{
+    std::vector<std::string> dropped;
+    std::erase_if(this->servers, [&](const auto &item) {
+        if (item.second->removeAt > now) {
+            return false;
+        }
+        dropped.push_back(item.first);
+        return true;
+    });
+    if (!dropped.empty()) {
+        this->rebuildIndex();
+    }
+    return dropped;
+}
+
+auto ServerBook::noteUnreachable(Server &server, Instant now) -> void
+{
+    if (now < server.avoidUntil) {
+        return;
+    }
+    server.wasUnreachable = true;
+    server.avoidFor = server.avoidFor == Duration(0)
+                          ? FirstAvoidance
+                          : std::min(LongestAvoidance, 2 * server.avoidFor);
+    server.avoidUntil = now + server.avoidFor;
+}
+
+auto ServerBook::noteReachable(Server &server, Duration coldFor, Instant now) -> void
+{
+    server.avoidFor = Duration(0);
+    server.avoidUntil = Instant(0);
+    if (server.wasUnreachable) {
+        server.wasUnreachable = false;
+        server.coldUntil = std::max(server.coldUntil, now + coldFor);
+    }
+}
+
+auto ServerBook::judge(Server &server, ServerVerdict verdict, Instant now) -> bool
+{
+    if (verdict == ServerVerdict::Neutral) {
+        return false;
+    }
+    auto &pace = server.pace;
+    const double failed = verdict == ServerVerdict::Failed ? 1 : 0;
+    pace.samples = pace.samples * SampleFade + 1;
+    const double weight = std::max(FailureWeight, 1 / pace.samples);
+    pace.failures += weight * (failed - pace.failures);
+    if (failed == 0 || pace.samples < EjectSamples || now < server.ejectedUntil) {
+        return false;
+    }
+    double sum = 0;
+    std::size_t ejected = 0;
+    const auto &others = this->ofService(server.entry.service);
+    for (const auto &other : others) {
+        sum += other->pace.failures;
+        ejected += now < other->ejectedUntil ? 1 : 0;
+    }
+    const double average = (sum - pace.failures)
+                           / static_cast<double>(std::max<std::size_t>(1, others.size() - 1));
+    if (pace.failures < std::max(EjectFailures, EjectRatio * average)
+        || (ejected + 1) * EjectablePart > others.size()) {
+        return false;
+    }
+    server.ejectedUntil = now + EjectionTime;
+    pace.samples = 0;
+    pace.failures = average;
+    return true;
+}
+
+auto ServerBook::takePeerLoads(const std::unordered_map<std::uint32_t, ServerLoad> &loads) -> void
+{
+    for (const auto &[id, server] : this->servers) {
+        const auto found = loads.find(server->number);
+        server->peers = found == loads.end() ? ServerLoad{} : found->second;
+    }
+}
+
+auto ServerBook::ofService(std::string_view service) const -> const std::vector<ServerPtr> &
+{
+    static const std::vector<ServerPtr> none;
+    const auto found = this->byService.find(service);
+    return found == this->byService.end() ? none : found->second;
+}
+
+auto ServerBook::find(std::string_view id) const -> ServerPtr
+{
+    const auto found = this->servers.find(id);
+    return found == this->servers.end() ? nullptr : found->second;
+}
+
+auto ServerBook::rebuildIndex() -> void
+{
+    this->byService.clear();
+    for (const auto &[id, server] : this->servers) {
+        this->byService[server->entry.service].push_back(server);
+    }
+}
+
+} // namespace banyanring::fleet
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,349 @@
+/** @file gateway.cpp One node: its doors, its books and its life. */
+#include "gateway.h"
+
+#include "banyanring/adapters/log_func.h"
+#include "banyanring/fleet/fleet_directory.h"
+#include "banyanring/gateway/gossip_codec.h"
+#include "banyanring/ports/clock_func.h"
+#include "small_doors.h"
+
+#include <csignal>
+#include <random>
+
+namespace banyanring::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration TickInterval = milliseconds(50); ///< Granularity of all time limits.
+constexpr std::uint64_t GossipTicks = 2; ///< Ticks between rounds of gossip.
+constexpr std::uint64_t SlowTicks = 5; ///< Ticks between checks of sessions and members.
+/** A caller that was given a stale address learns better within it. */
+constexpr Duration DirectoryTtl = milliseconds(1000);
+constexpr Duration FollowInterval = milliseconds(700); ///< Between fetches from peers.
+constexpr Duration BehindPatience = milliseconds(300); ///< The store usually tells sooner.
+constexpr Duration StoreLostPatience = milliseconds(700); ///< One failed call is no outage.
+constexpr Duration PeerFetchTimeout = milliseconds(1000); ///< Peers answer within milliseconds.
+constexpr auto MirrorPath = "/mirror"; ///< Peers fetch the mirror of the store here.
+/** Stopping, counted from the signal: callers have asked for addresses again by then. */
+constexpr Duration CloseIdleAfter = milliseconds(1500);
+constexpr Duration RefuseAfter = milliseconds(3000); ///< Later work might outlive the process.
+constexpr Duration StopMargin = milliseconds(700); ///< Before the process is killed.
+constexpr int Ok = 200;
+
+/** @return A random number that is not zero. */
+auto randomNumber() -> std::uint64_t
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device() | 1U;
+}
+
+} // namespace
+
+Gateway::Gateway(fleet::Environment given, std::function<fleet::Environment()> reload)
+    : environment(std::move(given)), reload(std::move(reload)), incarnation(randomNumber()),
+      books(this->environment, bootNow()), published(this->mirror, this->books),
+      pool(this->context), scheduler(this->books, this->pool, bootNow, randomNumber()),
+      gossip(this->context, this->environment, this->books, [this] { return this->statement(); }),
+      store(this->context, this->environment.store.text(), this->mirror, this->storeCallbacks()),
+      peerFetch(this->context), entry(this->context, this->environment.entry, this->entryHandler()),
+      readiness(this->context, this->environment.readiness,
+                this->smallHandler([this](const CallerRequest &request) {
+                    return platform::answerReadiness(request,
+                                                     this->phase == fleet::NodePhase::Ready);
+                })),
+      directory(this->context, this->environment.directory,
+                this->smallHandler([this](const CallerRequest &request) {
+                    return platform::answerAddresses(
+                        request,
+                        fleet::callerAddresses(this->statement(), this->books.members, bootNow()),
+                        std::min(DirectoryTtl, this->environment.bounds.directoryTtl));
+                })),
+      peers(this->context, this->environment.peers,
+            this->smallHandler(
+                [this](const CallerRequest &request) { return this->answerPeer(request); })),
+      operators(this->context, this->environment.metrics,
+                this->smallHandler([this](const CallerRequest &request) {
+                    return this->answerOperator(request);
+                })),
+      signals(this->context, SIGTERM, SIGINT, SIGHUP), timer(this->context)
+{
+}
+
+auto Gateway::run() -> void
+{
+    logEvent("started", {{"entry", this->environment.entry.text()},
+                         {"domain", this->environment.domain},
+                         {"incarnation", std::to_string(this->incarnation)}});
+    this->awaitSignals();
+    this->store.start();
+    this->gossip.sendRound();
+    this->scheduleTick();
+    this->context.run();
+    logEvent("stopped");
+}
+
+auto Gateway::entryHandler() -> DoorHandler
+{
+    DoorHandler handler;
+    handler.onRequest = [this](const CallerSessionPtr &session, CallerRequest request) {
+        session->run = this->scheduler.accept(session, std::move(request));
+    };
+    handler.onGone = [this](const CallerSessionPtr &session) {
+        this->scheduler.callerGone(session->run);
+    };
+    handler.limits = [this](Instant now) {
+        const auto &config = this->books.config.current();
+        auto limits = config ? config->limits : fleet::EntryLimits{};
+        limits.idleTimeout = this->books.config.idleTimeout(now);
+        return limits;
+    };
+    handler.onRejected = [this](int status, std::string_view reason) {
+        this->scheduler.metrics.count("rejected_" + std::to_string(status));
+        logEvent("request_rejected",
+                 {{"status", std::int64_t{status}}, {"reason", std::string(reason)}});
+    };
+    return handler;
+}
+
+auto Gateway::smallHandler(std::function<WholeAnswer(const CallerRequest &)> answer) -> DoorHandler
+{
+    DoorHandler handler;
+    handler.onRequest = [answer = std::move(answer)](const CallerSessionPtr &session,
+                                                     const CallerRequest &request) {
+        session->answer(answer(request));
+    };
+    handler.limits = [](Instant) { return fleet::EntryLimits{}; };
+    return handler;
+}
+
+auto Gateway::answerPeer(const CallerRequest &request) -> WholeAnswer
+{
+    if (request.path != MirrorPath || !this->published.loaded()) {
+        return {404, "Not Found", {}, ""};
+    }
+    return {Ok, "OK", {}, encodeMirror(this->mirror)};
+}
+
+auto Gateway::answerOperator(const CallerRequest &request) -> WholeAnswer
+{
+    if (request.path == "/metrics") {
+        return {Ok, "OK", {{"Content-Type", "text/plain; version=0.0.4"}}, this->metricsText()};
+    }
+    if (request.path == "/debug/state") {
+        return {Ok, "OK", {{"Content-Type", "application/json"}}, this->stateText()};
+    }
+    return {404, "Not Found", {}, "/metrics, /debug/state\n"};
+}
+
+auto Gateway::statement() const -> fleet::NodeStatement
+{
+    fleet::NodeStatement own;
+    own.peerAddress = this->environment.peers.text();
+    own.entryAddress = this->environment.entry.text();
+    own.domain = this->environment.domain;
+    own.incarnation = this->incarnation;
+    own.phase = this->phase;
+    own.configVersion = this->books.config.current() ? this->books.config.current()->version : 0;
+    own.storeRevision = this->mirror.revision();
+    own.storeReached = this->store.reached();
+    return own;
+}
+
+auto Gateway::storeCallbacks() -> platform::StoreReader::Callbacks
+{
+    platform::StoreReader::Callbacks callbacks;
+    callbacks.onChanged = [this](const std::vector<std::string> &keys) {
+        this->published.take(keys, bootNow());
+        if (!keys.empty()) {
+            this->scheduler.placeAll();
+        }
+    };
+    callbacks.onReached = [this](bool reached, const std::string &why) {
+        const auto now = bootNow();
+        this->published.noteStore(reached, now);
+        this->storeLostAt = reached ? Instant(0) : now;
+        logEvent(reached ? "store_regained" : "store_lost",
+                 {{"why", why},
+                  {"store_revision", static_cast<std::int64_t>(this->mirror.revision())}});
+    };
+    return callbacks;
+}
+
+auto Gateway::scheduleTick() -> void
+{
+    this->timer.expires_after(TickInterval);
+    this->timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error) {
+            this->tick();
+        }
+    });
+}
+
+auto Gateway::tick() -> void
+{
+    const auto now = bootNow();
+    ++this->ticks;
+    if (this->phase == fleet::NodePhase::Starting && this->books.config.current()
+        && this->published.loaded()) {
+        this->phase = fleet::NodePhase::Ready;
+        logEvent("ready", {{"config", static_cast<std::int64_t>(
+                                          this->books.config.current()->version)}});
+    }
+    this->pool.tick(now);
+    this->gossip.applyLoads(now);
+    this->scheduler.tick();
+    if (this->ticks % GossipTicks == 0) {
+        this->gossip.sendRound();
+    }
+    if (this->ticks % SlowTicks == 0) {
+        this->slowTick(now);
+    }
+    if (this->stopAsked) {
+        this->continueStop(now);
+    }
+    if (!this->context.stopped()) {
+        this->scheduleTick();
+    }
+}
+
+auto Gateway::slowTick(Instant now) -> void
+{
+    for (auto *door : {&this->entry, &this->readiness, &this->directory, &this->peers,
+                       &this->operators}) {
+        door->tick(now);
+    }
+    for (const auto &id : this->books.servers.expire(now)) {
+        this->pool.forget(id);
+        logEvent("server_dropped", {{"server", id}});
+    }
+    this->books.suspects.expire(now);
+    this->books.members.expire(now);
+    for (const auto &[address, member] : this->books.members.all()) {
+        const bool alive = fleet::FleetMembers::alive(member, now);
+        if (this->aliveBefore[address] && !alive) {
+            logEvent("member_lost",
+                     {{"member", address},
+                      {"silent_ms",
+                       static_cast<std::int64_t>((now - member.statedAt).count() / 1000)},
+                      {"fleet_size", static_cast<std::int64_t>(this->books.members.fleetSize(now))},
+                      {"reachable_part", this->books.members.reachablePart(now)}});
+        }
+        this->aliveBefore[address] = alive;
+    }
+    this->followPeers(now);
+}
+
+auto Gateway::followPeers(Instant now) -> void
+{
+    const auto own = this->statement();
+    const bool storeLost = !own.storeReached
+                           && (this->storeLostAt == Instant(0)
+                               || now - this->storeLostAt > StoreLostPatience);
+    const fleet::Member *newest = nullptr;
+    bool configBehind = false;
+    for (const auto *member : this->books.members.live(now)) {
+        const auto &theirs = member->statement;
+        if (theirs.configVersion > own.configVersion) {
+            configBehind = true;
+        }
+        if (theirs.storeRevision > own.storeRevision
+            && (newest == nullptr || theirs.storeRevision > newest->statement.storeRevision)) {
+            newest = member;
+        }
+    }
+    if (!configBehind) {
+        this->behindSince = Instant(0);
+    } else if (this->behindSince == Instant(0)) {
+        this->behindSince = now;
+    }
+    const bool behind = configBehind && now - this->behindSince > BehindPatience;
+    if (newest == nullptr || (!behind && !storeLost) || now < this->nextFollowAt
+        || this->peerFetch.busy()) {
+        return;
+    }
+    this->nextFollowAt = now + FollowInterval;
+    const auto peer = newest->statement.peerAddress;
+    this->peerFetch.get(
+        peer, MirrorPath, PeerFetchTimeout,
+        [this, peer](const FetchResult &result) { this->takePeerMirror(peer, result); });
+}
+
+auto Gateway::takePeerMirror(const std::string &peer, const FetchResult &result) -> void
+{
+    auto theirs = result.status == Ok ? decodeMirror(result.body) : std::nullopt;
+    if (!theirs) {
+        logEvent("peer_fetch_failed", {{"peer", peer},
+                                       {"status", std::int64_t{result.status}},
+                                       {"why", result.failure}});
+        return;
+    }
+    const auto before = this->mirror.revision();
+    const auto changed = this->mirror.replace(std::move(theirs->items), theirs->revision);
+    logEvent("mirror_from_peer", {{"peer", peer},
+                                  {"revision_before", static_cast<std::int64_t>(before)},
+                                  {"revision", static_cast<std::int64_t>(theirs->revision)},
+                                  {"changed", static_cast<std::int64_t>(changed.size())}});
+    this->published.take(changed, bootNow());
+    this->scheduler.placeAll();
+}
+
+auto Gateway::awaitSignals() -> void
+{
+    this->signals.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            this->reloadSettings();
+        } else if (!this->stopAsked) {
+            this->beginStop();
+        }
+        this->awaitSignals();
+    });
+}
+
+auto Gateway::reloadSettings() -> void
+{
+    try {
+        const auto fresh = this->reload();
+        this->environment.seeds = fresh.seeds;
+        this->environment.store = fresh.store;
+        this->books.members.setSeeds(fresh.seeds);
+        this->store.setAddress(fresh.store.text());
+        logEvent("settings_reloaded", {{"store", fresh.store.text()}});
+    } catch (const std::exception &error) {
+        logEvent("settings_rejected", {{"error", error.what()}});
+    }
+}
+
+auto Gateway::beginStop() -> void
+{
+    this->stopAsked = bootNow();
+    this->phase = fleet::NodePhase::Draining;
+    this->entry.announceClose();
+    this->gossip.sendRound();
+    logEvent("stopping", {{"open_requests", static_cast<std::int64_t>(this->scheduler.openRuns())}});
+}
+
+auto Gateway::continueStop(Instant now) -> void
+{
+    const auto passed = now - *this->stopAsked;
+    if (passed > CloseIdleAfter) {
+        this->entry.closeIdle();
+    }
+    if (passed > RefuseAfter) {
+        this->scheduler.stopAccepting();
+        this->entry.stop();
+    }
+    const bool drained = passed > CloseIdleAfter && this->entry.openSessions() == 0;
+    if (drained || passed > this->environment.bounds.stopGrace - StopMargin) {
+        logEvent("drained", {{"after_ms", static_cast<std::int64_t>(passed.count() / 1000)},
+                             {"cut_requests",
+                              static_cast<std::int64_t>(this->scheduler.openRuns())}});
+        this->context.stop();
+    }
+}
+
+} // namespace banyanring::gateway
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,78 @@
+/** @file gateway.h One node: its doors, its books and its life. */
+#pragma once
+
+#include "banyanring/gateway/door.h"
+#include "banyanring/gateway/peer_gossip.h"
+#include "banyanring/gateway/server_pool.h"
+#include "published_state.h"
+#include "store_reader.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace banyanring::gateway {
+
+/**
+ * One node. Callers, servers, peers and the store share one thread: each wake-up costs more than
+ * the work that a thread of its own would take off. Only the log is written by another.
+ */
+class Gateway
+{
+public:
+    /**
+     * @param environment What the settings say.
+     * @param reload Reads the settings again; may throw.
+     */
+    Gateway(fleet::Environment environment, std::function<fleet::Environment()> reload);
+
+    /** Runs until a stop has ended. */
+    auto run() -> void;
+
+private:
+    auto entryHandler() -> DoorHandler;
+    auto smallHandler(std::function<WholeAnswer(const CallerRequest &)> answer) -> DoorHandler;
+    auto answerPeer(const CallerRequest &request) -> WholeAnswer;
+    auto answerOperator(const CallerRequest &request) -> WholeAnswer;
+    auto statement() const -> fleet::NodeStatement;
+    auto storeCallbacks() -> platform::StoreReader::Callbacks;
+    auto scheduleTick() -> void;
+    auto tick() -> void;
+    auto slowTick(Instant now) -> void;
+    auto followPeers(Instant now) -> void;
+    auto takePeerMirror(const std::string &peer, const FetchResult &result) -> void;
+    auto awaitSignals() -> void;
+    auto reloadSettings() -> void;
+    auto beginStop() -> void;
+    auto continueStop(Instant now) -> void;
+    auto stateText() const -> std::string;
+    auto metricsText() const -> std::string;
+
+    fleet::Environment environment;
+    std::function<fleet::Environment()> reload;
+    boost::asio::io_context context{1};
+    std::uint64_t incarnation;
+    NodeBooks books;
+    fleet::PublishedBook mirror;
+    platform::PublishedState published;
+    ServerPool pool;
+    Scheduler scheduler;
+    PeerGossip gossip;
+    platform::StoreReader store;
+    HttpFetch peerFetch;
+    Door entry;
+    Door readiness;
+    Door directory;
+    Door peers;
+    Door operators;
+    boost::asio::signal_set signals;
+    boost::asio::steady_timer timer;
+    std::uint64_t ticks = 0;
+    fleet::NodePhase phase = fleet::NodePhase::Starting;
+    std::optional<Instant> stopAsked;
+    Instant behindSince{}; ///< Since when a peer has a newer configuration; zero if none has.
+    Instant storeLostAt{}; ///< Since when the store does not answer; zero if it does.
+    Instant nextFollowAt{};
+    std::map<std::string, bool> aliveBefore; ///< Members, to log their loss.
+};
+
+} // namespace banyanring::gateway
--- /dev/null
+++ b/src/gateway/gossip_codec.cpp
@@ -0,0 +1,142 @@
+/** @file gossip_codec.cpp Messages between nodes as msgpack. */
+#include "banyanring/gateway/gossip_codec.h"
+
+#include <msgpack.hpp>
+#include <tuple>
+
+namespace banyanring::gateway {
+
+namespace {
+
+constexpr int WireVersion = 1; ///< Grows with each change that older nodes cannot read.
+
+using Statement = std::tuple<std::string, std::string, std::string, std::uint64_t, std::uint64_t,
+                             std::uint8_t, std::uint64_t, std::uint64_t, bool, std::int64_t>;
+using Load = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>;
+using Spend = std::tuple<std::uint32_t, double>;
+using Suspect = std::tuple<std::uint64_t, std::vector<std::uint32_t>>;
+using Message = std::tuple<int, Statement, std::vector<Statement>, std::vector<Load>,
+                           std::vector<Spend>, std::vector<Suspect>, bool>;
+using Item = std::tuple<std::string, std::string, std::uint64_t>;
+using Mirror = std::tuple<int, std::uint64_t, std::vector<Item>>;
+
+/** @return A statement as it is sent. */
+auto pack(const fleet::NodeStatement &statement) -> Statement
+{
+    return {statement.peerAddress,
+            statement.entryAddress,
+            statement.domain,
+            statement.incarnation,
+            statement.sequence,
+            static_cast<std::uint8_t>(statement.phase),
+            statement.configVersion,
+            statement.storeRevision,
+            statement.storeReached,
+            statement.age.count()};
+}
+
+/** @return A statement as it was received. */
+auto unpack(const Statement &sent) -> fleet::NodeStatement
+{
+    fleet::NodeStatement statement;
+    std::uint8_t phase = 0;
+    std::int64_t age = 0;
+    std::tie(statement.peerAddress, statement.entryAddress, statement.domain, statement.incarnation,
+             statement.sequence, phase, statement.configVersion, statement.storeRevision,
+             statement.storeReached, age) = sent;
+    statement.phase = static_cast<fleet::NodePhase>(phase);
+    statement.age = Duration(std::max<std::int64_t>(0, age));
+    return statement;
+}
+
+/** @return The unpacked value; nothing if the bytes do not hold one. */
+template <typename Value> auto unpackAs(std::string_view bytes) -> std::optional<Value>
+{
+    try {
+        return msgpack::unpack(bytes.data(), bytes.size()).get().as<Value>();
+    } catch (const msgpack::unpack_error &) {
+        return std::nullopt; // The caller counts and logs it.
+    } catch (const msgpack::type_error &) {
+        return std::nullopt; // Likewise.
+    }
+}
+
+/** @return The packed bytes of a value. */
+template <typename Value> auto packed(const Value &value) -> std::string
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, value);
+    return {buffer.data(), buffer.size()};
+}
+
+} // namespace
+
+auto encodeGossip(const fleet::GossipMessage &message) -> std::string
+{
+    Message sent;
+    std::get<0>(sent) = WireVersion;
+    std::get<1>(sent) = pack(message.sender);
+    for (const auto &other : message.others) {
+        std::get<2>(sent).push_back(pack(other));
+    }
+    for (const auto &load : message.loads) {
+        std::get<3>(sent).emplace_back(load.server, load.requests, load.promptTokens);
+    }
+    for (const auto &spend : message.spends) {
+        std::get<4>(sent).emplace_back(spend.organisation, spend.units);
+    }
+    for (const auto &suspect : message.suspects) {
+        std::get<5>(sent).emplace_back(suspect.fingerprint, suspect.servers);
+    }
+    std::get<6>(sent) = message.replyWanted;
+    return packed(sent);
+}
+
+auto decodeGossip(std::string_view bytes) -> std::optional<fleet::GossipMessage>
+{
+    const auto sent = unpackAs<Message>(bytes);
+    if (!sent || std::get<0>(*sent) != WireVersion) {
+        return std::nullopt;
+    }
+    fleet::GossipMessage message;
+    message.sender = unpack(std::get<1>(*sent));
+    for (const auto &other : std::get<2>(*sent)) {
+        message.others.push_back(unpack(other));
+    }
+    for (const auto &[server, requests, tokens] : std::get<3>(*sent)) {
+        message.loads.push_back({server, requests, tokens});
+    }
+    for (const auto &[organisation, units] : std::get<4>(*sent)) {
+        message.spends.push_back({organisation, units});
+    }
+    for (const auto &[fingerprint, servers] : std::get<5>(*sent)) {
+        message.suspects.push_back({fingerprint, servers});
+    }
+    message.replyWanted = std::get<6>(*sent);
+    return message;
+}
+
+auto encodeMirror(const fleet::PublishedBook &mirror) -> std::string
+{
+    Mirror sent{WireVersion, mirror.revision(), {}};
+    for (const auto &[key, item] : mirror.all()) {
+        std::get<2>(sent).emplace_back(key, item.value, item.revision);
+    }
+    return packed(sent);
+}
+
+auto decodeMirror(std::string_view bytes) -> std::optional<PeerMirror>
+{
+    const auto sent = unpackAs<Mirror>(bytes);
+    if (!sent || std::get<0>(*sent) != WireVersion) {
+        return std::nullopt;
+    }
+    PeerMirror mirror;
+    mirror.revision = std::get<1>(*sent);
+    for (const auto &[key, value, revision] : std::get<2>(*sent)) {
+        mirror.items[key] = {value, revision};
+    }
+    return mirror;
+}
+
+} // namespace banyanring::gateway
--- /dev/null
+++ b/src/gateway/peer_gossip.cpp
@@ -0,0 +1,157 @@
+/** @file peer_gossip.cpp Gossip between nodes over UDP. */
+#include "banyanring/gateway/peer_gossip.h"
+
+#include "banyanring/adapters/log_func.h"
+#include "banyanring/gateway/gossip_codec.h"
+#include "banyanring/ports/clock_func.h"
+
+namespace banyanring::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+/** Everyone in a small fleet; keeps the bytes of a large one bounded. */
+constexpr std::size_t FanOut = 10;
+constexpr std::size_t RelayedStatements = 8; ///< A sample; news spreads in a few rounds.
+
+/** @return A parsed "IP:port". */
+auto endpointOf(const std::string &address) -> udp::endpoint
+{
+    const auto colon = address.rfind(':');
+    boost::system::error_code error;
+    const auto ip = asio::ip::make_address_v4(address.substr(0, colon), error);
+    const auto port = static_cast<std::uint16_t>(
+        std::strtoul(address.c_str() + std::min(colon + 1, address.size()), nullptr, 10));
+    return {ip, port};
+}
+
+} // namespace
+
+PeerGossip::PeerGossip(asio::io_context &context, const fleet::Environment &environment,
+                       NodeBooks &books, std::function<fleet::NodeStatement()> statement)
+    : books(books), statement(std::move(statement)),
+      socket(context, endpointOf(environment.peers.text())), random(std::random_device{}())
+{
+    this->socket.non_blocking(true);
+    this->receive();
+}
+
+auto PeerGossip::receive() -> void
+{
+    this->socket.async_receive_from(
+        asio::buffer(this->incoming), this->sender,
+        [this](const boost::system::error_code &error, std::size_t count) {
+            if (error == asio::error::operation_aborted) {
+                return;
+            }
+            if (!error) {
+                const auto message = decodeGossip({this->incoming.data(), count});
+                if (message) {
+                    ++this->counts.received;
+                    this->take(*message);
+                } else {
+                    ++this->counts.garbage;
+                    logEvent("gossip_garbage", {{"from", this->sender.address().to_string()},
+                                                {"bytes", static_cast<std::int64_t>(count)}});
+                }
+            }
+            this->receive();
+        });
+}
+
+auto PeerGossip::take(const fleet::GossipMessage &message) -> void
+{
+    const auto now = bootNow();
+    const auto note = [this, now](const fleet::NodeStatement &heard, bool direct) {
+        const auto known = this->books.members.all().find(heard.peerAddress);
+        const auto before = known == this->books.members.all().end()
+                                ? fleet::NodePhase::Starting
+                                : known->second.statement.phase;
+        if (this->books.members.take(heard, now)) {
+            logEvent("member_joined", {{"member", heard.peerAddress},
+                                       {"direct", direct},
+                                       {"age_ms", static_cast<std::int64_t>(heard.age.count() / 1000)}});
+        } else if (heard.phase == fleet::NodePhase::Draining && before == fleet::NodePhase::Ready) {
+            logEvent("member_draining", {{"member", heard.peerAddress}});
+        }
+    };
+    note(message.sender, true);
+    for (const auto &other : message.others) {
+        note(other, false);
+    }
+    this->loads[message.sender.peerAddress] = message.loads;
+    this->books.quotas.takePeer(message.sender.incarnation, message.spends);
+    this->books.suspects.takePeer(message.suspects, now);
+    if (message.replyWanted) {
+        this->sendTo(message.sender.peerAddress, this->compose(false));
+    }
+}
+
+auto PeerGossip::applyLoads(Instant now) -> void
+{
+    std::unordered_map<std::uint32_t, fleet::ServerLoad> sums;
+    for (auto at = this->loads.begin(); at != this->loads.end();) {
+        const auto member = this->books.members.all().find(at->first);
+        if (member == this->books.members.all().end()
+            || !fleet::FleetMembers::alive(member->second, now)) {
+            at = this->loads.erase(at);
+            continue;
+        }
+        for (const auto &load : at->second) {
+            auto &sum = sums[load.server];
+            sum.requests += load.requests;
+            sum.promptTokens += load.promptTokens;
+        }
+        ++at;
+    }
+    this->books.servers.takePeerLoads(sums);
+}
+
+auto PeerGossip::compose(bool replyWanted) -> std::string
+{
+    const auto now = bootNow();
+    fleet::GossipMessage message;
+    message.sender = this->statement();
+    message.sender.sequence = ++this->sequence;
+    message.others = this->books.members.relaySample(RelayedStatements, this->random, now);
+    for (const auto &[id, server] : this->books.servers.all()) {
+        if (server->own.requests > 0) {
+            message.loads.push_back(
+                {server->number, server->own.requests,
+                 static_cast<std::uint32_t>(std::max(0.0, server->own.promptTokens))});
+        }
+    }
+    message.spends = this->books.quotas.ownSpends();
+    message.suspects = this->books.suspects.statements(now);
+    message.replyWanted = replyWanted;
+    return encodeGossip(message);
+}
+
+auto PeerGossip::sendRound() -> void
+{
+    const auto now = bootNow();
+    const auto targets = this->books.members.gossipTargets(FanOut, this->random, now);
+    if (targets.empty()) {
+        return;
+    }
+    const bool alone = this->books.members.live(now).empty();
+    const auto bytes = this->compose(alone);
+    for (const auto &target : targets) {
+        this->sendTo(target, bytes);
+    }
+}
+
+auto PeerGossip::sendTo(const std::string &address, const std::string &bytes) -> void
+{
+    boost::system::error_code error;
+    this->socket.send_to(asio::buffer(bytes), endpointOf(address), 0, error);
+    if (!error) {
+        ++this->counts.sent;
+        this->counts.sentBytes += bytes.size();
+    }
+    // A refused or full send is a lost datagram; the next round makes up for it.
+}
+
+} // namespace banyanring::gateway
--- /dev/null
+++ b/src/gateway/scheduler.cpp
@@ -0,0 +1,141 @@
+/** @file scheduler.cpp The decisions of one node: admits, queues and places requests. */
+#include "banyanring/gateway/scheduler.h"
+
+#include "banyanring/adapters/log_func.h"
+#include "banyanring/gateway/request_run.h"
+
+namespace banyanring::gateway {
+
+namespace {
+
+/** Requests behind one that no server can take are rarely better off; bounds the work. */
+constexpr int FailuresPerRound = 3;
+
+} // namespace
+
+NodeBooks::NodeBooks(const fleet::Environment &environment, Instant now)
+    : members(environment.peers.text(), environment.seeds, now), quotas(environment.bounds),
+      retries(environment.bounds), colds(environment.bounds)
+{
+}
+
+Scheduler::Scheduler(NodeBooks &books, ServerPort &serverPort, std::function<Instant()> clock,
+                     std::uint64_t seed)
+    : books(books), serverPort(serverPort), clock(std::move(clock)), random(seed)
+{
+}
+
+Scheduler::~Scheduler() = default;
+
+auto Scheduler::accept(CallerPortPtr caller, CallerRequest request) -> std::uint64_t
+{
+    this->reap();
+    const auto number = this->nextRun++;
+    auto run = std::make_unique<RequestRun>(*this, number, std::move(caller), std::move(request));
+    auto &started = *this->runs.emplace(number, std::move(run)).first->second;
+    started.begin();
+    this->settle();
+    return number;
+}
+
+auto Scheduler::callerGone(std::uint64_t number) -> void
+{
+    const auto found = this->runs.find(number);
+    if (found != this->runs.end()) {
+        found->second->callerGone();
+        this->settle();
+    }
+}
+
+auto Scheduler::tick() -> void
+{
+    const auto now = this->clock();
+    for (auto &[name, queue] : this->queues) {
+        for (const auto number : queue.waiting.takeExpired(now)) {
+            this->runs.at(number)->refuseWaiting();
+        }
+    }
+    for (auto &[number, run] : this->runs) {
+        if (!run->done()) {
+            run->checkTimeouts(now);
+        }
+    }
+    this->placeAll();
+    this->reap();
+}
+
+auto Scheduler::placeAll() -> void
+{
+    for (const auto &[name, queue] : this->queues) {
+        if (queue.waiting.size() > 0) {
+            this->dirty.insert(name);
+        }
+    }
+    this->settle();
+}
+
+auto Scheduler::settle() -> void
+{
+    if (this->settling) {
+        return;
+    }
+    this->settling = true;
+    while (!this->dirty.empty()) {
+        const auto service = this->dirty.extract(this->dirty.begin()).value();
+        this->place(service);
+    }
+    this->settling = false;
+}
+
+auto Scheduler::place(const std::string &service) -> void
+{
+    auto &queue = this->queues[service];
+    if (queue.waiting.size() == 0) {
+        return;
+    }
+    int failures = 0;
+    for (const auto number : queue.waiting.order(this->clock())) {
+        if (!this->runs.at(number)->tryPlace() && ++failures >= FailuresPerRound) {
+            return;
+        }
+    }
+}
+
+auto Scheduler::waitingRuns() const -> std::size_t
+{
+    std::size_t number = 0;
+    for (const auto &[name, queue] : this->queues) {
+        number += queue.waiting.size();
+    }
+    return number;
+}
+
+auto Scheduler::usable(const fleet::Server &server, Instant now) const -> bool
+{
+    return !server.entry.draining && now >= server.avoidUntil && now < server.removeAt
+           && !this->books.config.domainOut(server.entry.domain);
+}
+
+auto Scheduler::expectedWait(const std::string &service, std::uint32_t tier) -> Duration
+{
+    const auto now = this->clock();
+    auto &queue = this->queues[service];
+    const double perSecond =
+        queue.sent.sum(now) / std::chrono::duration<double>(RateWindow).count();
+    if (perSecond < 1) {
+        return Duration(0);
+    }
+    const auto ahead = static_cast<double>(queue.waiting.ahead(tier, now));
+    return Duration(static_cast<std::int64_t>(ahead / perSecond * 1e6));
+}
+
+auto Scheduler::reap() -> void
+{
+    for (const auto number : this->finished) {
+        this->runs.erase(number);
+    }
+    this->finished.clear();
+    this->retired.clear();
+}
+
+} // namespace banyanring::gateway
--- /dev/null
+++ b/src/gateway/socket_options.cpp
@@ -0,0 +1,34 @@
+/** @file socket_options.cpp Options that let a dead path show itself on every socket. */
+#include "socket_options.h"
+
+#include <netinet/tcp.h>
+
+namespace banyanring::gateway {
+
+namespace {
+
+/** Well below the deadlines of requests, well above a round trip with retransmissions. */
+constexpr int UnacknowledgedMs = 2500;
+constexpr int ProbeIdleSeconds = 1; ///< A silent path shows after this and two probes.
+constexpr int ProbeIntervalSeconds = 1; ///< The least that the system takes.
+constexpr int ProbeCount = 2; ///< One lost probe is no verdict.
+
+} // namespace
+
+auto setLinkOptions(boost::asio::ip::tcp::socket &socket) -> void
+{
+    namespace asio = boost::asio;
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    using KeepIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using KeepInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using KeepCount = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    boost::system::error_code ignored; // An option that is not there costs speed of detection only.
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(KeepIdle(ProbeIdleSeconds), ignored);
+    socket.set_option(KeepInterval(ProbeIntervalSeconds), ignored);
+    socket.set_option(KeepCount(ProbeCount), ignored);
+    socket.set_option(UserTimeout(UnacknowledgedMs), ignored);
+}
+
+} // namespace banyanring::gateway
