--- a/include/banyanring/fleet/limit_shares.h
+++ b/include/banyanring/fleet/limit_shares.h
@@ -32,8 +32,29 @@
      */
     auto sum(Instant now) -> double;
 
+    /**
+     * Tells when enough of the window has passed for some of its sum to fall out.
+     * @param amount What has to fall out.
+     * @param now The present.
+     * @return Time from now; the whole window if it does not hold so much.
+     */
+    auto timeToShed(double amount, Instant now) -> Duration;
+
+    /**
+     * Spreads an amount evenly over the window that has passed.
+     * @param amount What to add.
+     * @param now The present.
+     */
+    auto spread(double amount, Instant now) -> void;
+
+    /** Forgets everything. */
+    auto clear() -> void
+    {
+        this->amounts.fill(0);
+    }
+
 private:
-    static constexpr int Buckets = 10; ///< Granularity of a tenth of the window.
+    static constexpr int Buckets = 20; ///< Granularity of a twentieth of the window.
     auto advance(Instant now) -> void;
 
     Duration bucketLength;
@@ -42,15 +63,21 @@
 };
 
 /**
- * Organisations' limits. Each node keeps an estimate of one bucket for the whole fleet: it refills
- * at the part of the rate that the nodes in contact may use, and both own and peers' admissions
- * are drawn from it. Gossip is late, so the sum passes the limit by what is admitted meanwhile.
+ * Organisations' limits. Each node keeps an estimate of what the whole fleet has admitted in the
+ * sliding window: its own admissions at once, its peers' by gossip. The nodes in contact share the
+ * part of the limit that falls to them. Gossip is late, so the sum passes the limit by what is
+ * admitted meanwhile; the tolerance of the limit covers that.
  */
 class QuotaLedger
 {
 public:
-    /** @param fleetBounds Bounds of the fleet. */
-    explicit QuotaLedger(const FleetBounds &fleetBounds) : bounds(fleetBounds) {}
+    /**
+     * @param fleetBounds Bounds of the fleet.
+     * @param now Start of the process.
+     */
+    QuotaLedger(const FleetBounds &fleetBounds, Instant now) : bounds(fleetBounds), startedAt(now)
+    {
+    }
 
     /**
      * Counts a request's units.
@@ -67,43 +94,46 @@
      * Gives back what a request that did not run was counted with.
      * @param organisation Its organisation.
      * @param units Its units.
+     * @param now The present.
      */
-    auto giveBack(std::string_view organisation, double units) -> void;
+    auto giveBack(std::string_view organisation, double units, Instant now) -> void;
 
     /**
      * Tells when an organisation that was refused can be admitted again.
      * @param organisation The organisation.
      * @param units Units of the request.
-     * @param part Part of the limit that the nodes in contact may use.
+     * @param now The present.
      * @return Time from now.
      */
-    auto retryAfter(const OrganisationRule &organisation, double units, double part) const
-        -> Duration;
+    auto retryAfter(const OrganisationRule &organisation, double units, Instant now) -> Duration;
 
     /**
      * Draws what a peer has admitted since its last statement.
      * @param peer The peer's incarnation.
      * @param spends What it stated.
+     * @param now The present.
      */
-    auto takePeer(std::uint64_t peer, const std::vector<SpendStatement> &spends) -> void;
+    auto takePeer(std::uint64_t peer, const std::vector<SpendStatement> &spends, Instant now)
+        -> void;
 
     /** @return What this node has admitted of each organisation since its start. */
     auto ownSpends() const -> std::vector<SpendStatement>;
 
 private:
-    /** An organisation's bucket. */
-    struct Bucket
+    /** What was admitted of one organisation. */
+    struct Account
     {
-        double level = 0; ///< Units left; negative after late news from peers.
-        double ownTotal = 0; ///< Units that this node has admitted.
-        Instant refilledAt{};
-        bool begun = false;
+        WindowCounter window; ///< By all nodes, as far as known.
+        double ownTotal = 0; ///< By this node since its start.
+        double limit = 0; ///< Whole limit of a window.
     };
 
-    auto tolerance(const OrganisationRule &organisation) const -> double;
+    auto account(std::uint32_t organisation) -> Account &;
+    auto limitOf(const OrganisationRule &organisation) const -> double;
 
     FleetBounds bounds;
-    std::unordered_map<std::uint32_t, Bucket> buckets;
+    Instant startedAt;
+    std::unordered_map<std::uint32_t, Account> accounts;
     std::map<std::pair<std::uint64_t, std::uint32_t>, double> peerTotals;
 };
 
--- a/include/banyanring/fleet/peer_state_type.h
+++ b/include/banyanring/fleet/peer_state_type.h
@@ -30,12 +30,14 @@
     Duration age{}; ///< Time since it was stated, added up over the hops.
 };
 
-/** A node's own work at a backend server. */
+/** A node's own work at a backend server, and the server's pace as it saw it. */
 struct LoadStatement
 {
     std::uint32_t server = 0; ///< Number of the server.
     std::uint32_t requests = 0; ///< Requests sent and not ended.
     std::uint32_t promptTokens = 0; ///< Prompt tokens of those without a first byte.
+    float promptMsPerToken = 0; ///< Time to the first event per prompt token; 0 unknown.
+    float outputMsPerToken = 0; ///< Time per output token; 0 unknown.
 };
 
 /** What a node has admitted of an organisation since its start. */
--- a/include/banyanring/fleet/server_book.h
+++ b/include/banyanring/fleet/server_book.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "banyanring/fleet/fleet_config_type.h"
+#include "banyanring/fleet/peer_state_type.h"
 
 #include <functional>
 #include <memory>
@@ -120,6 +121,12 @@
      */
     auto takePeerLoads(const std::unordered_map<std::uint32_t, ServerLoad> &loads) -> void;
 
+    /**
+     * Takes paces that a peer saw, of servers that this node does not know the pace of.
+     * @param loads What the peer stated.
+     */
+    auto adoptPaces(const std::vector<LoadStatement> &loads) -> void;
+
     /**
      * Lists the servers of a service.
      * @param service Its name.
--- a/include/banyanring/gateway/scheduler.h
+++ b/include/banyanring/gateway/scheduler.h
@@ -119,6 +119,7 @@
     ServerPort &serverPort;
     std::function<Instant()> clock;
     std::mt19937_64 random;
+    std::uint32_t nodeHash; ///< Tells this node's placements from others'.
     std::uint64_t nextRun = 1;
     bool refusing = false;
     bool settling = false;
--- a/src/fleet/limit_shares.cpp
+++ b/src/fleet/limit_shares.cpp
@@ -9,8 +9,12 @@
 namespace {
 
 /** Part of the tolerated overshoot that is used on purpose; the rest is for late gossip. */
-constexpr double UsedTolerance = 0.25;
-constexpr double FirstLevel = 0.25; ///< Part of the burst that a new bucket starts with.
+constexpr double UsedTolerance = 0.6;
+/**
+ * Part of a limit that a new process takes for spent already, evenly over the window before its
+ * start: it has forgotten what it admitted. Requests at the usual rate fit beside it.
+ */
+constexpr double AssumedSpent = 0.8;
 constexpr double RetryMargin = 0.8; ///< Part of the share used; restarted nodes count anew.
 constexpr double ColdMargin = 0.85; ///< Part of the cold bound used; clocks of bursts differ.
 constexpr std::size_t MostColdOwners = 5; ///< Few enough to leave each several requests a second.
@@ -46,58 +50,84 @@
     return result;
 }
 
-auto QuotaLedger::tolerance(const OrganisationRule &organisation) const -> double
+auto WindowCounter::spread(double amount, Instant now) -> void
+{
+    this->advance(now);
+    for (auto &bucket : this->amounts) {
+        bucket += amount / static_cast<double>(this->amounts.size());
+    }
+}
+
+auto WindowCounter::timeToShed(double amount, Instant now) -> Duration
+{
+    this->advance(now);
+    const auto size = static_cast<std::int64_t>(this->amounts.size());
+    const auto nextBucket = (this->newest + 1) * this->bucketLength - now;
+    for (std::int64_t age = size - 1; age >= 0; --age) {
+        const auto number = this->newest - age;
+        amount -= number < 0 ? 0 : this->amounts.at(static_cast<std::size_t>(number % size));
+        if (amount <= 0) {
+            return nextBucket + (size - 1 - age) * this->bucketLength;
+        }
+    }
+    return size * this->bucketLength;
+}
+
+auto QuotaLedger::account(std::uint32_t organisation) -> Account &
+{
+    return this->accounts
+        .try_emplace(organisation, Account{WindowCounter(this->bounds.quotaWindow)})
+        .first->second;
+}
+
+auto QuotaLedger::limitOf(const OrganisationRule &organisation) const -> double
 {
     const auto window = std::chrono::duration<double>(this->bounds.quotaWindow).count();
     const double limit = organisation.ratePerSecond * window + organisation.burst;
     const double slack = organisation.countsTokens ? this->bounds.quotaSlack : 0;
-    return UsedTolerance * (limit * this->bounds.quotaOvershoot + slack);
+    return limit + UsedTolerance * (limit * this->bounds.quotaOvershoot + slack);
 }
 
 auto QuotaLedger::admit(const OrganisationRule &organisation, double units, double part,
                         Instant now) -> bool
 {
-    auto &bucket = this->buckets[nameId(organisation.name)];
+    auto &held = this->account(nameId(organisation.name));
     if (organisation.ratePerSecond > 0) {
-        const double burst = organisation.burst * part;
-        if (!bucket.begun) {
-            bucket.begun = true;
-            bucket.level = burst * FirstLevel;
-            bucket.refilledAt = now;
+        const double limit = this->limitOf(organisation);
+        if (limit < held.limit) {
+            // What was admitted under the higher limit was allowed.
+            held.window.clear();
         }
-        const auto passed = std::chrono::duration<double>(now - bucket.refilledAt).count();
-        bucket.refilledAt = now;
-        bucket.level =
-            std::min(burst, bucket.level + passed * organisation.ratePerSecond * part);
-        if (bucket.level - units < -this->tolerance(organisation) * part) {
+        if (held.limit == 0 && now - this->startedAt < this->bounds.quotaWindow) {
+            held.window.spread(AssumedSpent * limit, this->startedAt);
+        }
+        held.limit = limit;
+        if (held.window.sum(now) + units > limit * part) {
             return false;
         }
     }
-    bucket.level -= units;
-    bucket.ownTotal += units;
+    held.window.add(units, now);
+    held.ownTotal += units;
     return true;
 }
 
-auto QuotaLedger::giveBack(std::string_view organisation, double units) -> void
+auto QuotaLedger::giveBack(std::string_view organisation, double units, Instant now) -> void
 {
-    auto &bucket = this->buckets[nameId(organisation)];
-    bucket.level += units;
-    bucket.ownTotal -= units;
+    auto &held = this->account(nameId(organisation));
+    held.window.add(-units, now);
+    held.ownTotal -= units;
 }
 
-auto QuotaLedger::retryAfter(const OrganisationRule &organisation, double units, double part) const
+auto QuotaLedger::retryAfter(const OrganisationRule &organisation, double units, Instant now)
     -> Duration
 {
-    const auto found = this->buckets.find(nameId(organisation.name));
-    if (found == this->buckets.end() || organisation.ratePerSecond <= 0) {
-        return LeastRetryAfter;
-    }
-    const double missing = units - found->second.level - this->tolerance(organisation) * part;
-    const double wait = missing / (organisation.ratePerSecond * std::max(part, 0.01));
-    return std::max(LeastRetryAfter, Duration(static_cast<std::int64_t>(wait * 1e6)));
+    auto &held = this->account(nameId(organisation.name));
+    const double excess = held.window.sum(now) + units - this->limitOf(organisation);
+    return std::max(LeastRetryAfter, held.window.timeToShed(excess, now));
 }
 
-auto QuotaLedger::takePeer(std::uint64_t peer, const std::vector<SpendStatement> &spends) -> void
+auto QuotaLedger::takePeer(std::uint64_t peer, const std::vector<SpendStatement> &spends,
+                           Instant now) -> void
 {
     for (const auto &spend : spends) {
         const auto [known, added] = this->peerTotals.try_emplace(
@@ -105,7 +135,7 @@
         const double fresh = spend.units - known->second;
         known->second = spend.units;
         if (!added && fresh != 0) {
-            this->buckets[spend.organisation].level -= fresh;
+            this->account(spend.organisation).window.add(fresh, now);
         }
     }
 }
@@ -113,9 +143,9 @@
 auto QuotaLedger::ownSpends() const -> std::vector<SpendStatement>
 {
     std::vector<SpendStatement> result;
-    for (const auto &[organisation, bucket] : this->buckets) {
-        if (bucket.ownTotal > 0) {
-            result.push_back({organisation, bucket.ownTotal});
+    for (const auto &[organisation, held] : this->accounts) {
+        if (held.ownTotal > 0) {
+            result.push_back({organisation, held.ownTotal});
         }
     }
     return result;
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -18,6 +18,8 @@
 /** Reading a prompt delays each stream beside it by as much; part of that counted as cost. */
 constexpr double InterferencePart = 0.25;
 constexpr double EjectedPenaltyMs = 100000; ///< Ranks a server set aside behind all others.
+/** Nodes rate a server by up to this part apart, so that they do not all choose the same one. */
+constexpr double PreferenceSpread = 0.15;
 constexpr double MinTokens = 256; ///< Shorter prompts say little about the reading speed.
 
 /** @return @p value, or @p fallback if it is not known. */
@@ -32,6 +34,13 @@
     average = average > 0 ? average + PaceWeight * (sample - average) : sample;
 }
 
+/** @return A factor on a server's cost that is fixed for each node and server. */
+auto preferenceOf(const Server &server, std::uint32_t node) -> double
+{
+    const auto mixed = mix64((static_cast<std::uint64_t>(node) << 32U) | server.number);
+    return 1 + PreferenceSpread * static_cast<double>(mixed >> 11U) / static_cast<double>(1ULL << 53U);
+}
+
 /** @return Expected cost in milliseconds of a request on a server. */
 auto costOf(const Server &server, const RequestShape &shape, Instant now) -> double
 {
@@ -77,7 +86,7 @@
         if (occupied >= server->entry.slots || (server->cold(now) && !coldGate(*server))) {
             continue;
         }
-        const double cost = costOf(*server, shape, now);
+        const double cost = costOf(*server, shape, now) * preferenceOf(*server, shape.node);
         if (!choice.server || cost < best) {
             choice.server = server;
             best = cost;
--- a/src/fleet/server_book.cpp
+++ b/src/fleet/server_book.cpp
@@ -142,6 +142,27 @@
     }
 }
 
+auto ServerBook::adoptPaces(const std::vector<LoadStatement> &loads) -> void
+{
+    for (const auto &[id, server] : this->servers) {
+        auto &pace = server->pace;
+        if (pace.promptMsPerToken > 0 && pace.outputMsPerToken > 0) {
+            continue;
+        }
+        for (const auto &load : loads) {
+            if (load.server != server->number) {
+                continue;
+            }
+            if (pace.promptMsPerToken == 0) {
+                pace.promptMsPerToken = load.promptMsPerToken;
+            }
+            if (pace.outputMsPerToken == 0) {
+                pace.outputMsPerToken = load.outputMsPerToken;
+            }
+        }
+    }
+}
+
 auto ServerBook::ofService(std::string_view service) const -> const std::vector<ServerPtr> &
 {
     static const std::vector<ServerPtr> none;
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -82,7 +82,8 @@
         note(other, false);
     }
     this->loads[message.sender.peerAddress] = message.loads;
-    this->books.quotas.takePeer(message.sender.incarnation, message.spends);
+    this->books.servers.adoptPaces(message.loads);
+    this->books.quotas.takePeer(message.sender.incarnation, message.spends, now);
     this->books.suspects.takePeer(message.suspects, now);
     if (message.replyWanted) {
         this->sendTo(message.sender.peerAddress, this->compose(false));
@@ -117,10 +118,13 @@
     message.sender.sequence = ++this->sequence;
     message.others = this->books.members.relaySample(RelayedStatements, this->random, now);
     for (const auto &[id, server] : this->books.servers.all()) {
-        if (server->own.requests > 0) {
+        const auto &pace = server->pace;
+        if (server->own.requests > 0 || pace.outputMsPerToken > 0) {
             message.loads.push_back(
                 {server->number, server->own.requests,
-                 static_cast<std::uint32_t>(std::max(0.0, server->own.promptTokens))});
+                 static_cast<std::uint32_t>(std::max(0.0, server->own.promptTokens)),
+                 static_cast<float>(pace.promptMsPerToken),
+                 static_cast<float>(pace.outputMsPerToken)});
         }
     }
     message.spends = this->books.quotas.ownSpends();
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -136,7 +136,7 @@
     this->service = this->route->targets.at(pick(this->scheduler.random)).service;
     const auto *rule = this->forServer();
     this->shape = {rule != nullptr && rule->engine, this->request.promptTokens,
-                   this->request.outputTokens};
+                   this->request.outputTokens, this->scheduler.nodeHash};
     this->enqueue(std::chrono::duration_cast<Duration>(this->patience() * QueuePatience));
 }
 
@@ -164,7 +164,7 @@
         this->step("quota", secondsText(Duration(static_cast<std::int64_t>(cost * 1e6)))
                                 + " units, part " + std::to_string(part));
         this->refuse(429, Cause::OverQuota,
-                     books.quotas.retryAfter(*this->organisation, cost, part));
+                     books.quotas.retryAfter(*this->organisation, cost, now));
         return false;
     }
     this->units = cost;
@@ -272,7 +272,8 @@
 auto RequestRun::refuse(int status, Cause cause, Duration retryAfter) -> void
 {
     if (this->units > 0 && this->organisation != nullptr) {
-        this->scheduler.books.quotas.giveBack(this->organisation->name, this->units);
+        this->scheduler.books.quotas.giveBack(this->organisation->name, this->units,
+                                                this->scheduler.clock());
     }
     WholeAnswer refusal{status, phraseOf(status), {}, ""};
     if (retryAfter > Duration(0)) {
--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -14,14 +14,15 @@
 } // namespace
 
 NodeBooks::NodeBooks(const fleet::Environment &environment, Instant now)
-    : members(environment.peers.text(), environment.seeds, now), quotas(environment.bounds),
+    : members(environment.peers.text(), environment.seeds, now), quotas(environment.bounds, now),
       retries(environment.bounds), colds(environment.bounds)
 {
 }
 
 Scheduler::Scheduler(NodeBooks &books, ServerPort &serverPort, std::function<Instant()> clock,
                      std::uint64_t seed)
-    : books(books), serverPort(serverPort), clock(std::move(clock)), random(seed)
+    : books(books), serverPort(serverPort), clock(std::move(clock)), random(seed),
+      nodeHash(static_cast<std::uint32_t>(mix64(seed)))
 {
 }
 
