--- a/include/banyanring/fleet/limit_shares.h
+++ b/include/banyanring/fleet/limit_shares.h
@@ -5,6 +5,7 @@
 #include "banyanring/fleet/fleet_config_type.h"
 #include "banyanring/fleet/peer_state_type.h"
 
+#include <algorithm>
 #include <array>
 #include <deque>
 #include <string_view>
@@ -116,20 +117,33 @@
     auto takePeer(std::uint64_t peer, const std::vector<SpendStatement> &spends, Instant now)
         -> void;
 
-    /** @return What this node has admitted of each organisation since its start. */
-    auto ownSpends() const -> std::vector<SpendStatement>;
+    /**
+     * Lists what this node has admitted of each organisation.
+     * @param now The present.
+     * @return What peers are to be told.
+     */
+    auto ownSpends(Instant now) -> std::vector<SpendStatement>;
 
 private:
     /** What was admitted of one organisation. */
     struct Account
     {
-        WindowCounter window; ///< By all nodes, as far as known.
+        WindowCounter own; ///< By this node.
+        WindowCounter peers; ///< By the others, since they were first heard of.
+        WindowCounter told; ///< By the others before that, as they told.
+        WindowCounter assumed; ///< By anyone before this process started.
         double ownTotal = 0; ///< By this node since its start.
-        double limit = 0; ///< Whole limit of a window.
+        double limit = 0; ///< Limit of a window, tolerance included.
+
+        auto sum(Instant now) -> double
+        {
+            return this->own.sum(now) + this->peers.sum(now)
+                   + std::max(this->told.sum(now), this->assumed.sum(now));
+        }
     };
 
     auto account(std::uint32_t organisation) -> Account &;
-    auto limitOf(const OrganisationRule &organisation) const -> double;
+    auto limitOf(const OrganisationRule &organisation, Instant now) const -> double;
 
     FleetBounds bounds;
     Instant startedAt;
--- a/include/banyanring/fleet/peer_state_type.h
+++ b/include/banyanring/fleet/peer_state_type.h
@@ -45,6 +45,7 @@
 {
     std::uint32_t organisation = 0; ///< nameId of the organisation.
     double units = 0; ///< Units, since the incarnation began.
+    double recent = 0; ///< Units of the last window.
 };
 
 /** A request that was running when backend servers crashed. */
--- a/src/fleet/limit_shares.cpp
+++ b/src/fleet/limit_shares.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /** Part of the tolerated overshoot that is used on purpose; the rest is for late gossip. */
-constexpr double UsedTolerance = 0.6;
+constexpr double UsedTolerance = 0.5;
 /**
  * Part of a limit that a new process takes for spent already, evenly over the window before its
  * start: it has forgotten what it admitted. Requests at the usual rate fit beside it.
@@ -75,15 +75,18 @@
 
 auto QuotaLedger::account(std::uint32_t organisation) -> Account &
 {
-    return this->accounts
-        .try_emplace(organisation, Account{WindowCounter(this->bounds.quotaWindow)})
+    const WindowCounter empty(this->bounds.quotaWindow);
+    return this->accounts.try_emplace(organisation, Account{empty, empty, empty, empty})
         .first->second;
 }
 
-auto QuotaLedger::limitOf(const OrganisationRule &organisation) const -> double
+auto QuotaLedger::limitOf(const OrganisationRule &organisation, Instant now) const -> double
 {
     const auto window = std::chrono::duration<double>(this->bounds.quotaWindow).count();
     const double limit = organisation.ratePerSecond * window + organisation.burst;
+    if (now - this->startedAt < this->bounds.quotaWindow) {
+        return limit;
+    }
     const double slack = organisation.countsTokens ? this->bounds.quotaSlack : 0;
     return limit + UsedTolerance * (limit * this->bounds.quotaOvershoot + slack);
 }
@@ -93,20 +96,22 @@
 {
     auto &held = this->account(nameId(organisation.name));
     if (organisation.ratePerSecond > 0) {
-        const double limit = this->limitOf(organisation);
+        const double limit = this->limitOf(organisation, now);
+        if (held.limit == 0 && now - this->startedAt < this->bounds.quotaWindow) {
+            held.assumed.spread(AssumedSpent * limit, this->startedAt);
+        }
         if (limit < held.limit) {
             // What was admitted under the higher limit was allowed.
-            held.window.clear();
-        }
-        if (held.limit == 0 && now - this->startedAt < this->bounds.quotaWindow) {
-            held.window.spread(AssumedSpent * limit, this->startedAt);
+            for (auto *counter : {&held.own, &held.peers, &held.told, &held.assumed}) {
+                counter->clear();
+            }
         }
         held.limit = limit;
-        if (held.window.sum(now) + units > limit * part) {
+        if (held.sum(now) + units > limit * part) {
             return false;
         }
     }
-    held.window.add(units, now);
+    held.own.add(units, now);
     held.ownTotal += units;
     return true;
 }
@@ -114,7 +119,7 @@
 auto QuotaLedger::giveBack(std::string_view organisation, double units, Instant now) -> void
 {
     auto &held = this->account(nameId(organisation));
-    held.window.add(-units, now);
+    held.own.add(-units, now);
     held.ownTotal -= units;
 }
 
@@ -122,8 +127,9 @@
     -> Duration
 {
     auto &held = this->account(nameId(organisation.name));
-    const double excess = held.window.sum(now) + units - this->limitOf(organisation);
-    return std::max(LeastRetryAfter, held.window.timeToShed(excess, now));
+    const double excess = held.sum(now) + units - this->limitOf(organisation, now);
+    return std::max(LeastRetryAfter, std::min(held.own.timeToShed(excess / 2, now),
+                                              held.peers.timeToShed(excess / 2, now)));
 }
 
 auto QuotaLedger::takePeer(std::uint64_t peer, const std::vector<SpendStatement> &spends,
@@ -134,18 +140,21 @@
             std::pair(peer, spend.organisation), spend.units);
         const double fresh = spend.units - known->second;
         known->second = spend.units;
-        if (!added && fresh != 0) {
-            this->account(spend.organisation).window.add(fresh, now);
+        auto &held = this->account(spend.organisation);
+        if (added) {
+            held.told.spread(spend.recent, now);
+        } else if (fresh != 0) {
+            held.peers.add(fresh, now);
         }
     }
 }
 
-auto QuotaLedger::ownSpends() const -> std::vector<SpendStatement>
+auto QuotaLedger::ownSpends(Instant now) -> std::vector<SpendStatement>
 {
     std::vector<SpendStatement> result;
-    for (const auto &[organisation, held] : this->accounts) {
+    for (auto &[organisation, held] : this->accounts) {
         if (held.ownTotal > 0) {
-            result.push_back({organisation, held.ownTotal});
+            result.push_back({organisation, held.ownTotal, held.own.sum(now)});
         }
     }
     return result;
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -127,7 +127,7 @@
                  static_cast<float>(pace.outputMsPerToken)});
         }
     }
-    message.spends = this->books.quotas.ownSpends();
+    message.spends = this->books.quotas.ownSpends(now);
     message.suspects = this->books.suspects.statements(now);
     message.replyWanted = replyWanted;
     return encodeGossip(message);
