Refuse at once what would be late; quota tolerance by demand; no server that would not end in time

Cause: the queue held up to two seconds of work, so most of it was served just late; callers came back into the same overload.

--- a/include/banyanring/fleet/limit_shares.h
+++ b/include/banyanring/fleet/limit_shares.h
@@ -12,6 +12,13 @@
 
 namespace banyanring::fleet {
 
+/** The nodes in contact with each other. */
+struct ReachableGroup
+{
+    double part = 1; ///< Part of the fleet-wide limits that they may use together.
+    std::size_t nodes = 1; ///< How many they are.
+};
+
 /** Counts events over a sliding window, in buckets. */
 class WindowCounter
 {
@@ -84,12 +91,12 @@
      * Counts a request's units.
      * @param organisation Its organisation.
      * @param units Its units.
-     * @param part Part of the limit that the nodes in contact may use.
+     * @param group The nodes in contact.
      * @param now The present.
      * @return Whether it is within the limit; nothing is counted otherwise.
      */
-    auto admit(const OrganisationRule &organisation, double units, double part, Instant now)
-        -> bool;
+    auto admit(const OrganisationRule &organisation, double units, const ReachableGroup &group,
+               Instant now) -> bool;
 
     /**
      * Gives back what a request that did not run was counted with.
@@ -132,8 +139,9 @@
         WindowCounter peers; ///< By the others, since they were first heard of.
         WindowCounter told; ///< By the others before that, as they told.
         WindowCounter assumed; ///< By anyone before this process started.
+        WindowCounter asked; ///< Asked for at this node of late, admitted or not.
         double ownTotal = 0; ///< By this node since its start.
-        double limit = 0; ///< Limit of a window, tolerance included.
+        double limit = 0; ///< Limit of a window, without tolerance.
 
         auto sum(Instant now) -> double
         {
@@ -143,7 +151,9 @@
     };
 
     auto account(std::uint32_t organisation) -> Account &;
-    auto limitOf(const OrganisationRule &organisation, Instant now) const -> double;
+    auto windowLimit(const OrganisationRule &organisation) const -> double;
+    auto usableLimit(const OrganisationRule &organisation, Account &held,
+                     const ReachableGroup &group, Instant now) const -> double;
 
     FleetBounds bounds;
     Instant startedAt;
--- a/include/banyanring/fleet/placement.h
+++ b/include/banyanring/fleet/placement.h
@@ -14,6 +14,7 @@
     bool engine = false; ///< For a model engine.
     double promptTokens = 0; ///< Prompt tokens.
     double outputTokens = 0; ///< Most output tokens.
+    double timeLeftMs = 0; ///< Time until its final answer is due; 0 for no limit.
     std::uint32_t node = 0; ///< Hash of the placing node: nodes differ in what they prefer.
 };
 
--- a/include/banyanring/gateway/request_run.h
+++ b/include/banyanring/gateway/request_run.h
@@ -102,6 +102,7 @@
     auto writeLog(Cause cause, int status) const -> void;
     auto stalled(Instant now) const -> bool;
     auto patience() const -> Duration;
+    auto comeBackAfter(Duration wait) const -> Duration;
     auto forServer() const -> const fleet::ServiceRule *;
     auto tier() const -> std::uint32_t;
 
--- a/src/fleet/limit_shares.cpp
+++ b/src/fleet/limit_shares.cpp
@@ -8,8 +8,12 @@
 
 namespace {
 
-/** Part of the tolerated overshoot that is used on purpose; the rest is for late gossip. */
-constexpr double UsedTolerance = 0.5;
+/** Part of the tolerated overshoot that is used at most, and at least. */
+constexpr double MostTolerance = 0.85;
+constexpr double LeastTolerance = 0.3;
+/** What is asked for within it may be admitted by several nodes before they hear of each other. */
+constexpr Duration GossipLag = std::chrono::milliseconds(350);
+constexpr Duration AskedWindow = std::chrono::seconds(2); ///< Measures the present demand.
 /**
  * Part of a limit that a new process takes for spent already, evenly over the window before its
  * start: it has forgotten what it admitted. Requests at the usual rate fit beside it.
@@ -76,27 +80,41 @@
 auto QuotaLedger::account(std::uint32_t organisation) -> Account &
 {
     const WindowCounter empty(this->bounds.quotaWindow);
-    return this->accounts.try_emplace(organisation, Account{empty, empty, empty, empty})
+    return this->accounts
+        .try_emplace(organisation, Account{empty, empty, empty, empty, WindowCounter(AskedWindow)})
         .first->second;
 }
 
-auto QuotaLedger::limitOf(const OrganisationRule &organisation, Instant now) const -> double
+auto QuotaLedger::windowLimit(const OrganisationRule &organisation) const -> double
 {
     const auto window = std::chrono::duration<double>(this->bounds.quotaWindow).count();
-    const double limit = organisation.ratePerSecond * window + organisation.burst;
+    return organisation.ratePerSecond * window + organisation.burst;
+}
+
+auto QuotaLedger::usableLimit(const OrganisationRule &organisation, Account &held,
+                              const ReachableGroup &group, Instant now) const -> double
+{
+    const double limit = this->windowLimit(organisation);
     if (now - this->startedAt < this->bounds.quotaWindow) {
-        return limit;
+        return limit * group.part;
     }
     const double slack = organisation.countsTokens ? this->bounds.quotaSlack : 0;
-    return limit + UsedTolerance * (limit * this->bounds.quotaOvershoot + slack);
+    const double tolerance = limit * this->bounds.quotaOvershoot + slack;
+    const double perSecond = held.asked.sum(now) / std::chrono::duration<double>(AskedWindow).count();
+    const double unheard = perSecond * static_cast<double>(group.nodes)
+                           * std::chrono::duration<double>(GossipLag).count();
+    return (limit
+            + std::max(LeastTolerance * tolerance, MostTolerance * tolerance - unheard))
+           * group.part;
 }
 
-auto QuotaLedger::admit(const OrganisationRule &organisation, double units, double part,
-                        Instant now) -> bool
+auto QuotaLedger::admit(const OrganisationRule &organisation, double units,
+                        const ReachableGroup &group, Instant now) -> bool
 {
     auto &held = this->account(nameId(organisation.name));
+    held.asked.add(units, now);
     if (organisation.ratePerSecond > 0) {
-        const double limit = this->limitOf(organisation, now);
+        const double limit = this->windowLimit(organisation);
         if (held.limit == 0 && now - this->startedAt < this->bounds.quotaWindow) {
             held.assumed.spread(AssumedSpent * limit, this->startedAt);
         }
@@ -107,7 +125,7 @@
             }
         }
         held.limit = limit;
-        if (held.sum(now) + units > limit * part) {
+        if (held.sum(now) + units > this->usableLimit(organisation, held, group, now)) {
             return false;
         }
     }
@@ -127,7 +145,7 @@
     -> Duration
 {
     auto &held = this->account(nameId(organisation.name));
-    const double excess = held.sum(now) + units - this->limitOf(organisation, now);
+    const double excess = held.sum(now) + units - this->windowLimit(organisation);
     return std::max(LeastRetryAfter, std::min(held.own.timeToShed(excess / 2, now),
                                               held.peers.timeToShed(excess / 2, now)));
 }
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -18,6 +18,8 @@
 /** Reading a prompt delays each stream beside it by as much; part of that counted as cost. */
 constexpr double InterferencePart = 0.25;
 constexpr double EjectedPenaltyMs = 100000; ///< Ranks a server set aside behind all others.
+constexpr double TooSlowPenaltyMs = 50000; ///< Ranks a server that would not end in time behind.
+constexpr double TimeLeftPart = 0.8; ///< Part of the time left that the expected time may take.
 /** Nodes rate a server by up to this part apart, so that they do not all choose the same one. */
 constexpr double PreferenceSpread = 0.15;
 constexpr double MinTokens = 256; ///< Shorter prompts say little about the reading speed.
@@ -52,7 +54,10 @@
     }
     const double perPrompt = known(server.pace.promptMsPerToken, DefaultPromptMsPerToken);
     const double perOutput = known(server.pace.outputMsPerToken, DefaultOutputMsPerToken);
-    return penalty + expectedFirstMs(server, shape) + OutputPart * shape.outputTokens * perOutput
+    const double firstMs = expectedFirstMs(server, shape);
+    const double outputMs = shape.outputTokens * perOutput;
+    const bool tooSlow = shape.timeLeftMs > 0 && firstMs + outputMs > TimeLeftPart * shape.timeLeftMs;
+    return penalty + (tooSlow ? TooSlowPenaltyMs : 0) + firstMs + OutputPart * outputMs
            + InterferencePart * shape.promptTokens * perPrompt * occupied;
 }
 
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -36,6 +36,7 @@
     const auto now = this->scheduler.clock();
     const auto *rule = this->forServer();
     const auto fleetSize = books.members.fleetSize(now);
+    this->shape.timeLeftMs = static_cast<double>((this->finalAt - now).count()) / 1000;
     const auto usable = [&](const fleet::Server &candidate) {
         return this->scheduler.usable(candidate, now) && !this->tried.contains(candidate.entry.id);
     };
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -21,7 +21,12 @@
 constexpr int GapPatience = 8; ///< Times the longest pause.
 /** Part of the caller's patience that a request may wait; the rest is for its service. */
 constexpr double QueuePatience = 0.5;
-constexpr Duration RepeatPatience = milliseconds(500); ///< Wait for another server at least.
+/** Expected times to the first byte are averages; a request is sent while twice as long fits. */
+constexpr double FirstByteMargin = 2;
+/** A queue that moves within it is no overload. */
+constexpr Duration LeastQueueWait = milliseconds(100);
+/** Overload lasts for seconds: callers are sent away for as long as they are ready to wait. */
+constexpr int RetryAfterPart = 3;
 constexpr Duration RepeatDue = milliseconds(100); ///< A repeat is urgent.
 constexpr Duration ShortRetryAfter = milliseconds(250); ///< The cause passes quickly.
 constexpr Duration LongestRetryAfter = std::chrono::seconds(5); ///< Callers wait no longer.
@@ -136,7 +141,7 @@
     this->service = this->route->targets.at(pick(this->scheduler.random)).service;
     const auto *rule = this->forServer();
     this->shape = {rule != nullptr && rule->engine, this->request.promptTokens,
-                   this->request.outputTokens, this->scheduler.nodeHash};
+                   this->request.outputTokens, 0, this->scheduler.nodeHash};
     this->enqueue(std::chrono::duration_cast<Duration>(this->patience() * QueuePatience));
 }
 
@@ -159,10 +164,12 @@
     const auto cost = this->organisation->countsTokens && this->request.countsTokens
                           ? this->request.promptTokens + this->request.outputTokens
                           : this->organisation->plainUnits;
-    const auto part = books.members.reachablePart(now);
-    if (!books.quotas.admit(*this->organisation, cost, part, now)) {
-        this->step("quota", secondsText(Duration(static_cast<std::int64_t>(cost * 1e6)))
-                                + " units, part " + std::to_string(part));
+    const fleet::ReachableGroup group{books.members.reachablePart(now),
+                                      books.members.live(now).size() + 1};
+    if (!books.quotas.admit(*this->organisation, cost, group, now)) {
+        this->step("over_quota", std::to_string(static_cast<std::int64_t>(cost)) + " units, part "
+                                     + std::to_string(group.part) + " of "
+                                     + std::to_string(group.nodes) + " nodes");
         this->refuse(429, Cause::OverQuota,
                      books.quotas.retryAfter(*this->organisation, cost, now));
         return false;
@@ -198,8 +205,8 @@
 {
     const auto now = this->scheduler.clock();
     auto &queue = this->scheduler.queueOf(this->service);
-    const auto first = milliseconds(
-        static_cast<std::int64_t>(fleet::expectedFirstMs(fleet::Server{}, this->shape)));
+    const auto first = milliseconds(static_cast<std::int64_t>(
+        FirstByteMargin * fleet::expectedFirstMs(fleet::Server{}, this->shape)));
     const auto organisationId = this->organisation ? nameId(this->organisation->name) : 0;
     const double cost = 1 + this->shape.promptTokens + this->shape.outputTokens;
     const bool again = this->sends > 0;
@@ -212,17 +219,23 @@
         return;
     }
     const auto wait = this->scheduler.expectedWait(this->service, this->tier());
-    if (wait > longestWait) {
+    if (now + wait > std::max(dueAt, now + LeastQueueWait)) {
         queue.waiting.remove(this->number);
         this->waiting = false;
         this->step("queue_full", std::to_string(queue.waiting.size()) + " waiting, expected "
                                      + secondsText(wait) + " s");
-        this->refuse(503, Cause::Overload, wait);
+        this->refuse(503, Cause::Overload, this->comeBackAfter(wait));
         return;
     }
     this->step("queued", std::to_string(queue.waiting.size()) + " waiting");
 }
 
+auto RequestRun::comeBackAfter(Duration wait) const -> Duration
+{
+    const auto left = this->finalAt - this->scheduler.clock();
+    return std::max({ShortRetryAfter, wait, left / RetryAfterPart});
+}
+
 auto RequestRun::refuseWaiting() -> void
 {
     this->waiting = false;
@@ -231,8 +244,8 @@
                            : Cause::Overload;
     if (!this->mayHaveRun) {
         this->refuse(503, cause,
-                     std::max(ShortRetryAfter,
-                              this->scheduler.expectedWait(this->service, this->tier())));
+                     this->comeBackAfter(
+                         this->scheduler.expectedWait(this->service, this->tier())));
         return;
     }
     this->failUnknown(502, cause);
