Output lengths from the route's usual and the caller's hint; organisations' demand by gossip

Cause: the declared most of output tokens is the same for each request of a route, so the check whether a server ends in time was blind, and the reserve for late gossip stood on one node's sample of the demand. Kept for the limit's reserve, which a rule needs.

--- a/include/banyanring/fleet/environment_type.h
+++ b/include/banyanring/fleet/environment_type.h
@@ -1,4 +1,5 @@
-/** @file environment_type.h What a process is told about its machine, its addresses and its bounds. */
+/** @file environment_type.h What a process is told about its machine, its addresses and its bounds.
+ */
 #pragma once
 
 #include "banyanring/core/ids_type.h"
--- a/include/banyanring/fleet/fleet_config_type.h
+++ b/include/banyanring/fleet/fleet_config_type.h
@@ -52,6 +52,7 @@
     Duration coldFor{}; ///< How long a server stays cold after a start.
     double coldPerSecond = 0; ///< Requests a second that a cold server bears; 0 for no bound.
     bool engine = false; ///< A model engine, as opposed to a plain service.
+    double tokensPerEvent = 1; ///< Output tokens in one event of an engine's stream.
 };
 
 /** An organisation and its limit over all nodes. */
--- a/include/banyanring/fleet/limit_shares.h
+++ b/include/banyanring/fleet/limit_shares.h
@@ -124,6 +124,12 @@
     auto takePeer(std::uint64_t peer, const std::vector<SpendStatement> &spends, Instant now)
         -> void;
 
+    /**
+     * Forgets peers that are long silent.
+     * @param now The present.
+     */
+    auto expire(Instant now) -> void;
+
     /**
      * Lists what this node has admitted of each organisation.
      * @param now The present.
@@ -143,6 +149,7 @@
         double ownTotal = 0; ///< By this node since its start.
         double limit = 0; ///< Limit of a window, without tolerance.
 
+        /** @return What all nodes have admitted in the window, as far as known. */
         auto sum(Instant now) -> double
         {
             return this->own.sum(now) + this->peers.sum(now)
@@ -158,7 +165,18 @@
     FleetBounds bounds;
     Instant startedAt;
     std::unordered_map<std::uint32_t, Account> accounts;
-    std::map<std::pair<std::uint64_t, std::uint32_t>, double> peerTotals;
+    /** What a peer said last of one organisation. */
+    struct PeerSpend
+    {
+        double total = 0; ///< Units since its start.
+        double askedPerSecond = 0; ///< Units asked for there.
+        Instant at{}; ///< When it was heard.
+    };
+
+    auto demand(std::uint32_t organisation, Account &held, Instant now) const -> double;
+
+    /** By organisation and the peer's incarnation. */
+    std::map<std::pair<std::uint32_t, std::uint64_t>, PeerSpend> peerSpends;
 };
 
 /** The share of repeats of one node, for each service. */
--- a/include/banyanring/fleet/peer_state_type.h
+++ b/include/banyanring/fleet/peer_state_type.h
@@ -35,7 +35,7 @@
 {
     std::uint32_t server = 0; ///< Number of the server.
     std::uint32_t requests = 0; ///< Requests sent and not ended.
-    std::uint32_t promptTokens = 0; ///< Prompt tokens of those without a first byte.
+    std::uint32_t promptWork = 0; ///< Work of reading the prompts without a first byte.
     float promptMsPerToken = 0; ///< Time to the first event per prompt token; 0 unknown.
     float outputMsPerToken = 0; ///< Time per output token; 0 unknown.
 };
@@ -46,6 +46,7 @@
     std::uint32_t organisation = 0; ///< nameId of the organisation.
     double units = 0; ///< Units, since the incarnation began.
     double recent = 0; ///< Units of the last window.
+    double askedPerSecond = 0; ///< Units asked for there of late, admitted or not.
 };
 
 /** A request that was running when backend servers crashed. */
--- a/include/banyanring/fleet/placement.h
+++ b/include/banyanring/fleet/placement.h
@@ -12,12 +12,20 @@
 struct RequestShape
 {
     bool engine = false; ///< For a model engine.
-    double promptTokens = 0; ///< Prompt tokens.
-    double outputTokens = 0; ///< Most output tokens.
+    double promptWork = 0; ///< Work of reading the prompt, in tokens of a short one.
+    double outputTokens = 0; ///< Output tokens that its route usually takes.
+    double longestOutput = 0; ///< Output tokens that it may take, as far as its caller tells.
     double timeLeftMs = 0; ///< Time until its final answer is due; 0 for no limit.
     std::uint32_t node = 0; ///< Hash of the placing node: nodes differ in what they prefer.
 };
 
+/**
+ * Gives the work of reading a prompt. Attention grows with the square of the length.
+ * @param tokens Prompt tokens.
+ * @return Work in tokens of a short prompt.
+ */
+auto promptWork(double tokens) -> double;
+
 /** A choice, or why there is none. */
 struct Choice
 {
@@ -46,12 +54,13 @@
  * Learns from a whole answer.
  * @param server The server.
  * @param shape The request.
- * @param tokensAhead Prompt tokens that waited at the server when it was sent, its own included.
+ * @param workAhead Prompt work that waited at the server when it was sent, its own included.
  * @param firstByte Time from sending to the first byte of the answer.
  * @param rest Time from there to the end.
+ * @param outputTokens Output tokens that came after the first byte.
  */
-auto learnPace(Server &server, const RequestShape &shape, double tokensAhead, Duration firstByte,
-               Duration rest) -> void;
+auto learnPace(Server &server, const RequestShape &shape, double workAhead, Duration firstByte,
+               Duration rest, double outputTokens) -> void;
 
 /**
  * Expects the time to the first event of a request on a server.
--- a/include/banyanring/fleet/server_book.h
+++ b/include/banyanring/fleet/server_book.h
@@ -14,13 +14,13 @@
 struct ServerLoad
 {
     std::uint32_t requests = 0; ///< Requests sent and not ended.
-    double promptTokens = 0; ///< Prompt tokens of those whose first byte has not come.
+    double promptWork = 0; ///< Work of reading the prompts whose first byte has not come.
 };
 
 /** Moving averages of what a backend server showed. */
 struct ServerPace
 {
-    double promptMsPerToken = 0; ///< Time to the first event per prompt token ahead; 0 unknown.
+    double promptMsPerToken = 0; ///< Time to the first event per prompt work ahead; 0 unknown.
     double outputMsPerToken = 0; ///< Time per output token after that; 0 unknown.
     double answerMs = 0; ///< Time to a whole plain answer; 0 unknown.
     double failures = 0; ///< Part of the recent answers that failed, 0 to 1.
--- a/include/banyanring/gateway/caller_session.h
+++ b/include/banyanring/gateway/caller_session.h
@@ -1,4 +1,5 @@
-/** @file caller_session.h A server connection over HTTP/1.1: callers, the platform and operators. */
+/** @file caller_session.h A server connection over HTTP/1.1: callers, the platform and operators.
+ */
 #pragma once
 
 #include "banyanring/fleet/fleet_config_type.h"
--- a/include/banyanring/gateway/event_stream.h
+++ b/include/banyanring/gateway/event_stream.h
@@ -36,6 +36,13 @@
     auto restart() -> void
     {
         this->partial.clear();
+        this->number = 0;
+    }
+
+    /** @return Events given out since the last restart. */
+    auto delivered() const -> std::uint64_t
+    {
+        return this->number;
     }
 
     /** @return Whether the server's data ends at the end of an event. */
@@ -52,6 +59,7 @@
 
 private:
     std::string partial;
+    std::uint64_t number = 0;
     std::optional<std::uint64_t> lastId;
 };
 
--- a/include/banyanring/gateway/outbound_connection.h
+++ b/include/banyanring/gateway/outbound_connection.h
@@ -1,4 +1,5 @@
-/** @file outbound_connection.h A client connection over HTTP/1.1: to servers, the store and peers. */
+/** @file outbound_connection.h A client connection over HTTP/1.1: to servers, the store and peers.
+ */
 #pragma once
 
 #include "banyanring/core/ids_type.h"
--- a/include/banyanring/gateway/request_run.h
+++ b/include/banyanring/gateway/request_run.h
@@ -119,6 +119,8 @@
     double units = 0; ///< Counted against the organisation's limit.
     Instant finalAt{}; ///< The final answer is due.
     Instant firstByteAt{}; ///< First byte to the caller.
+    Instant lastEventAt{}; ///< Last events to the caller.
+    Duration longestGap{}; ///< Longest pause between events to the caller.
 
     std::unique_ptr<Exchange> exchange;
     fleet::ServerPtr server; ///< Of the present exchange.
@@ -127,7 +129,7 @@
     Instant sentAt{};
     Instant answerAt{}; ///< First byte of the present exchange's answer.
     Instant lastDataAt{};
-    double tokensAhead = 0; ///< Prompt tokens at the server when it was sent.
+    double workAhead = 0; ///< Prompt work at the server when it was sent.
     bool promptCounted = false; ///< Its prompt counts as unread at the server.
     std::string body; ///< Collected body of a whole answer.
 
--- a/include/banyanring/gateway/request_type.h
+++ b/include/banyanring/gateway/request_type.h
@@ -25,6 +25,7 @@
     bool countsTokens = false; ///< It states its token counts.
     double promptTokens = 0; ///< Prompt tokens.
     double outputTokens = 0; ///< Most output tokens.
+    std::optional<double> expectedOutput; ///< Output tokens that the caller expects.
     std::optional<std::uint64_t> lastEvent; ///< The caller continues a stream after this event.
     std::vector<HeaderField> headers; ///< Headers that a server gets, without the system's own.
     std::string body; ///< Whole body.
--- a/include/banyanring/gateway/scheduler.h
+++ b/include/banyanring/gateway/scheduler.h
@@ -110,6 +110,8 @@
         return this->queues[service];
     }
     auto settle() -> void;
+    auto noteOutput(const std::string &prefix, double tokens) -> void;
+    auto usualOutput(const std::string &prefix, double most) const -> double;
     auto place(const std::string &service) -> void;
     auto reap() -> void;
     auto usable(const fleet::Server &server, Instant now) const -> bool;
@@ -125,6 +127,7 @@
     bool settling = false;
     std::unordered_map<std::uint64_t, std::unique_ptr<RequestRun>> runs;
     std::unordered_map<std::string, ServiceQueue> queues;
+    std::unordered_map<std::string, double> outputs; ///< Usual output tokens by route prefix.
     std::set<std::string> dirty; ///< Services whose queue may move.
     std::vector<std::uint64_t> finished; ///< Runs to be destroyed, outside of their own calls.
     std::vector<std::unique_ptr<Exchange>> retired; ///< Likewise.
--- a/include/banyanring/gateway/scheduler_ports.h
+++ b/include/banyanring/gateway/scheduler_ports.h
@@ -104,8 +104,7 @@
      * @return The exchange.
      */
     virtual auto send(const fleet::ServerPtr &server, const std::string &attempt, std::string bytes,
-                      bool repeatable, ExchangeListener &listener)
-        -> std::unique_ptr<Exchange> = 0;
+                      bool repeatable, ExchangeListener &listener) -> std::unique_ptr<Exchange> = 0;
 };
 
 } // namespace banyanring::gateway
--- a/src/adapters/log.cpp
+++ b/src/adapters/log.cpp
@@ -63,9 +63,10 @@
     logState().node = node;
     logState().limit = linesPerSecond;
     spdlog::init_thread_pool(BufferedLines, 1);
-    auto logger = file == "-" ? spdlog::create_async_nb<spdlog::sinks::stdout_sink_st>("banyanring")
-                              : spdlog::create_async_nb<spdlog::sinks::basic_file_sink_st>(
-                                  "banyanring", file);
+    auto logger =
+        file == "-"
+            ? spdlog::create_async_nb<spdlog::sinks::stdout_sink_st>("banyanring")
+            : spdlog::create_async_nb<spdlog::sinks::basic_file_sink_st>("banyanring", file);
     logger->set_pattern("%v");
     logger->flush_on(spdlog::level::warn);
     spdlog::set_default_logger(logger);
@@ -90,8 +91,7 @@
     line["node"] = logState().node;
     line["event"] = event;
     for (const auto &[name, value] : fields) {
-        std::visit([&line, name = name](
-                       const auto &held) { line[std::string(name)] = held; },
+        std::visit([&line, name = name](const auto &held) { line[std::string(name)] = held; },
                    value);
     }
     if (dropped > 0) {
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -28,8 +28,7 @@
 {
     const auto settings = banyanring::readSettings(file);
     crossplat::threadpool::initialize_with_threads(static_cast<std::size_t>(settings.httpThreads));
-    banyanring::openLog(settings.logFile, std::to_string(settings.node),
-                        settings.logRate);
+    banyanring::openLog(settings.logFile, std::to_string(settings.node), settings.logRate);
     std::signal(SIGTERM, onSignal);
     std::signal(SIGINT, onSignal);
     std::signal(SIGPIPE, SIG_IGN);
--- a/src/fleet/admission_queue.cpp
+++ b/src/fleet/admission_queue.cpp
@@ -75,9 +75,8 @@
 auto AdmissionQueue::ahead(std::uint32_t tier, Instant now) const -> std::size_t
 {
     return static_cast<std::size_t>(
-        std::count_if(this->waiting.begin(), this->waiting.end(), [&](const auto &item) {
-            return item.tier <= tier && item.dueAt >= now;
-        }));
+        std::count_if(this->waiting.begin(), this->waiting.end(),
+                      [&](const auto &item) { return item.tier <= tier && item.dueAt >= now; }));
 }
 
 } // namespace banyanring::fleet
--- a/src/fleet/config_book.cpp
+++ b/src/fleet/config_book.cpp
@@ -66,7 +66,8 @@
 
 auto ConfigBook::idleTimeout(Instant now) const -> Duration
 {
-    const auto current = this->config ? this->config->limits.idleTimeout : EntryLimits{}.idleTimeout;
+    const auto current =
+        this->config ? this->config->limits.idleTimeout : EntryLimits{}.idleTimeout;
     return now < this->earlierIdleUntil ? std::max(current, this->earlierIdleTimeout) : current;
 }
 
--- a/src/fleet/fleet_members.cpp
+++ b/src/fleet/fleet_members.cpp
@@ -69,8 +69,8 @@
 
 auto FleetMembers::reachablePart(Instant now) const -> double
 {
-    const auto part = static_cast<double>(this->live(now).size() + 1)
-                      / static_cast<double>(this->fleetSize(now));
+    const auto part =
+        static_cast<double>(this->live(now).size() + 1) / static_cast<double>(this->fleetSize(now));
     return part < HalfPart ? part : std::min(1.0, part + LargerGroupExtra);
 }
 
--- a/src/fleet/limit_shares.cpp
+++ b/src/fleet/limit_shares.cpp
@@ -9,11 +9,13 @@
 namespace {
 
 /** Part of the tolerated overshoot that is used at most, and at least. */
-constexpr double MostTolerance = 0.85;
+constexpr double MostTolerance = 0.9;
 constexpr double LeastTolerance = 0.3;
 /** What is asked for within it may be admitted by several nodes before they hear of each other. */
 constexpr Duration GossipLag = std::chrono::milliseconds(350);
 constexpr Duration AskedWindow = std::chrono::seconds(2); ///< Measures the present demand.
+/** Longer than a partition usually lasts; a peer that comes back later counts as a new one. */
+constexpr Duration PeerMemory = std::chrono::seconds(60);
 /**
  * Part of a limit that a new process takes for spent already, evenly over the window before its
  * start: it has forgotten what it admitted. Requests at the usual rate fit beside it.
@@ -100,14 +102,24 @@
     }
     const double slack = organisation.countsTokens ? this->bounds.quotaSlack : 0;
     const double tolerance = limit * this->bounds.quotaOvershoot + slack;
-    const double perSecond = held.asked.sum(now) / std::chrono::duration<double>(AskedWindow).count();
-    const double unheard = perSecond * static_cast<double>(group.nodes)
+    const double unheard = this->demand(nameId(organisation.name), held, now)
                            * std::chrono::duration<double>(GossipLag).count();
-    return (limit
-            + std::max(LeastTolerance * tolerance, MostTolerance * tolerance - unheard))
+    return (limit + std::max(LeastTolerance * tolerance, MostTolerance * tolerance - unheard))
            * group.part;
 }
 
+auto QuotaLedger::demand(std::uint32_t organisation, Account &held, Instant now) const -> double
+{
+    double perSecond = held.asked.sum(now) / std::chrono::duration<double>(AskedWindow).count();
+    for (auto peer = this->peerSpends.lower_bound({organisation, 0});
+         peer != this->peerSpends.end() && peer->first.first == organisation; ++peer) {
+        if (now - peer->second.at < AskedWindow) {
+            perSecond += peer->second.askedPerSecond;
+        }
+    }
+    return perSecond;
+}
+
 auto QuotaLedger::admit(const OrganisationRule &organisation, double units,
                         const ReachableGroup &group, Instant now) -> bool
 {
@@ -154,10 +166,10 @@
                            Instant now) -> void
 {
     for (const auto &spend : spends) {
-        const auto [known, added] = this->peerTotals.try_emplace(
-            std::pair(peer, spend.organisation), spend.units);
-        const double fresh = spend.units - known->second;
-        known->second = spend.units;
+        const auto [known, added] =
+            this->peerSpends.try_emplace(std::pair(spend.organisation, peer));
+        const double fresh = spend.units - known->second.total;
+        known->second = {spend.units, spend.askedPerSecond, now};
         auto &held = this->account(spend.organisation);
         if (added) {
             held.told.spread(spend.recent, now);
@@ -169,15 +181,23 @@
 
 auto QuotaLedger::ownSpends(Instant now) -> std::vector<SpendStatement>
 {
+    const auto seconds = std::chrono::duration<double>(AskedWindow).count();
     std::vector<SpendStatement> result;
     for (auto &[organisation, held] : this->accounts) {
-        if (held.ownTotal > 0) {
-            result.push_back({organisation, held.ownTotal, held.own.sum(now)});
+        if (held.ownTotal > 0 || held.asked.sum(now) > 0) {
+            result.push_back(
+                {organisation, held.ownTotal, held.own.sum(now), held.asked.sum(now) / seconds});
         }
     }
     return result;
 }
 
+auto QuotaLedger::expire(Instant now) -> void
+{
+    std::erase_if(this->peerSpends,
+                  [&](const auto &item) { return now - item.second.at > PeerMemory; });
+}
+
 auto RetryShare::counters(const std::string &service) -> Counters &
 {
     const auto window = this->bounds.retryWindow;
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -10,8 +10,10 @@
 constexpr double PaceWeight = 0.15; ///< Weight of one answer in the moving averages.
 /** Paces assumed of a server that has not answered yet: those of a middling engine. */
 constexpr double DefaultPromptMsPerToken = 0.02;
-constexpr double DefaultOutputMsPerToken = 1.0;
+constexpr double DefaultOutputMsPerToken = 4;
 constexpr double DefaultAnswerMs = 60;
+/** Length at which attention takes as long as the rest; engines of today lie near it. */
+constexpr double AttentionTokens = 30000;
 constexpr double BaseMs = 5; ///< Network and admission before a prompt is read.
 /** The time to the end matters less than the time to the first event, which has a target. */
 constexpr double OutputPart = 0.4;
@@ -40,7 +42,9 @@
 auto preferenceOf(const Server &server, std::uint32_t node) -> double
 {
     const auto mixed = mix64((static_cast<std::uint64_t>(node) << 32U) | server.number);
-    return 1 + PreferenceSpread * static_cast<double>(mixed >> 11U) / static_cast<double>(1ULL << 53U);
+    return 1
+           + PreferenceSpread * static_cast<double>(mixed >> 11U)
+                 / static_cast<double>(1ULL << 53U);
 }
 
 /** @return Expected cost in milliseconds of a request on a server. */
@@ -56,19 +60,26 @@
     const double perOutput = known(server.pace.outputMsPerToken, DefaultOutputMsPerToken);
     const double firstMs = expectedFirstMs(server, shape);
     const double outputMs = shape.outputTokens * perOutput;
-    const bool tooSlow = shape.timeLeftMs > 0 && firstMs + outputMs > TimeLeftPart * shape.timeLeftMs;
+    const double longestMs = std::max(shape.longestOutput, shape.outputTokens) * perOutput;
+    const bool tooSlow =
+        shape.timeLeftMs > 0 && firstMs + longestMs > TimeLeftPart * shape.timeLeftMs;
     return penalty + (tooSlow ? TooSlowPenaltyMs : 0) + firstMs + OutputPart * outputMs
-           + InterferencePart * shape.promptTokens * perPrompt * occupied;
+           + InterferencePart * shape.promptWork * perPrompt * occupied;
 }
 
 } // namespace
 
+auto promptWork(double tokens) -> double
+{
+    return tokens * (1 + tokens / AttentionTokens);
+}
+
 auto expectedFirstMs(const Server &server, const RequestShape &shape) -> double
 {
     if (!shape.engine) {
         return known(server.pace.answerMs, DefaultAnswerMs);
     }
-    const double ahead = server.own.promptTokens + server.peers.promptTokens + shape.promptTokens;
+    const double ahead = server.own.promptWork + server.peers.promptWork + shape.promptWork;
     return BaseMs + ahead * known(server.pace.promptMsPerToken, DefaultPromptMsPerToken);
 }
 
@@ -101,8 +112,8 @@
     return choice;
 }
 
-auto learnPace(Server &server, const RequestShape &shape, double tokensAhead, Duration firstByte,
-               Duration rest) -> void
+auto learnPace(Server &server, const RequestShape &shape, double workAhead, Duration firstByte,
+               Duration rest, double outputTokens) -> void
 {
     const double firstMs = static_cast<double>(firstByte.count()) / 1000;
     const double restMs = static_cast<double>(rest.count()) / 1000;
@@ -110,11 +121,11 @@
         learn(server.pace.answerMs, firstMs + restMs);
         return;
     }
-    if (tokensAhead >= MinTokens) {
-        learn(server.pace.promptMsPerToken, std::max(0.0, firstMs - BaseMs) / tokensAhead);
+    if (workAhead >= MinTokens) {
+        learn(server.pace.promptMsPerToken, std::max(0.0, firstMs - BaseMs) / workAhead);
     }
-    if (shape.outputTokens > 0 && restMs > 0) {
-        learn(server.pace.outputMsPerToken, restMs / shape.outputTokens);
+    if (outputTokens > 0 && restMs > 0) {
+        learn(server.pace.outputMsPerToken, restMs / outputTokens);
     }
 }
 
--- a/src/fleet/server_book.cpp
+++ b/src/fleet/server_book.cpp
@@ -46,8 +46,8 @@
         server->entry = entry;
         this->rebuildIndex();
     }
-    const bool changed = !known || server->entry.draining != entry.draining
-                         || server->removeAt != Never;
+    const bool changed =
+        !known || server->entry.draining != entry.draining || server->removeAt != Never;
     server->entry = entry;
     server->removeAt = Never;
     if (entry.coldLeft > Duration(0)) {
@@ -122,8 +122,8 @@
         sum += other->pace.failures;
         ejected += now < other->ejectedUntil ? 1 : 0;
     }
-    const double average = (sum - pace.failures)
-                           / static_cast<double>(std::max<std::size_t>(1, others.size() - 1));
+    const double average =
+        (sum - pace.failures) / static_cast<double>(std::max<std::size_t>(1, others.size() - 1));
     if (pace.failures < std::max(EjectFailures, EjectRatio * average)
         || (ejected + 1) * EjectablePart > others.size()) {
         return false;
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -5,8 +5,8 @@
 #include "request_headers.h"
 #include "socket_options.h"
 
-#include <boost/algorithm/string.hpp>
 #include <array>
+#include <boost/algorithm/string.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -92,7 +92,8 @@
 
 auto CallerSession::consume() -> void
 {
-    while (this->buffer.size() > 0 && (this->state == State::Idle || this->state == State::Reading)) {
+    while (this->buffer.size() > 0
+           && (this->state == State::Idle || this->state == State::Reading)) {
         const auto now = bootNow();
         if (this->state == State::Idle) {
             const auto limits = this->handler.limits(now);
@@ -149,8 +150,8 @@
     const auto &fields = this->parser->get();
     const auto lengths = fields.count(http::field::content_length);
     const auto encodings = fields.count(http::field::transfer_encoding);
-    const bool odd = encodings > 0
-                     && !boost::iequals(fields[http::field::transfer_encoding], "chunked");
+    const bool odd =
+        encodings > 0 && !boost::iequals(fields[http::field::transfer_encoding], "chunked");
     return lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0) || odd;
 }
 
--- a/src/gateway/door.cpp
+++ b/src/gateway/door.cpp
@@ -28,23 +28,23 @@
 
 auto Door::accept() -> void
 {
-    this->acceptor.async_accept([this](const boost::system::error_code &error,
-                                       asio::ip::tcp::socket socket) {
-        if (error == asio::error::operation_aborted) {
-            return;
-        }
-        if (error) {
-            logEvent("accept_failed", {{"error", error.message()}});
-        } else {
-            auto session = std::make_shared<CallerSession>(std::move(socket), this->handler);
-            session->closeAfterAnswer = this->closing;
-            this->sessions.push_back(session);
-            session->start();
-        }
-        if (this->acceptor.is_open()) {
-            this->accept();
-        }
-    });
+    this->acceptor.async_accept(
+        [this](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
+            if (error == asio::error::operation_aborted) {
+                return;
+            }
+            if (error) {
+                logEvent("accept_failed", {{"error", error.message()}});
+            } else {
+                auto session = std::make_shared<CallerSession>(std::move(socket), this->handler);
+                session->closeAfterAnswer = this->closing;
+                this->sessions.push_back(session);
+                session->start();
+            }
+            if (this->acceptor.is_open()) {
+                this->accept();
+            }
+        });
 }
 
 auto Door::tick(Instant now) -> void
--- a/src/gateway/event_stream.cpp
+++ b/src/gateway/event_stream.cpp
@@ -56,6 +56,7 @@
         if (id) {
             this->lastId = id;
         }
+        ++this->number;
         taken.events.append(event);
     }
     this->partial.erase(0, begin);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -164,9 +164,9 @@
         const auto now = bootNow();
         this->published.noteStore(reached, now);
         this->storeLostAt = reached ? Instant(0) : now;
-        logEvent(reached ? "store_regained" : "store_lost",
-                 {{"why", why},
-                  {"store_revision", static_cast<std::int64_t>(this->mirror.revision())}});
+        logEvent(
+            reached ? "store_regained" : "store_lost",
+            {{"why", why}, {"store_revision", static_cast<std::int64_t>(this->mirror.revision())}});
     };
     return callbacks;
 }
@@ -188,8 +188,8 @@
     if (this->phase == fleet::NodePhase::Starting && this->books.config.current()
         && this->published.loaded()) {
         this->phase = fleet::NodePhase::Ready;
-        logEvent("ready", {{"config", static_cast<std::int64_t>(
-                                          this->books.config.current()->version)}});
+        logEvent("ready",
+                 {{"config", static_cast<std::int64_t>(this->books.config.current()->version)}});
     }
     this->pool.tick(now);
     this->gossip.applyLoads(now);
@@ -210,8 +210,8 @@
 
 auto Gateway::slowTick(Instant now) -> void
 {
-    for (auto *door : {&this->entry, &this->readiness, &this->directory, &this->peers,
-                       &this->operators}) {
+    for (auto *door :
+         {&this->entry, &this->readiness, &this->directory, &this->peers, &this->operators}) {
         door->tick(now);
     }
     for (const auto &id : this->books.servers.expire(now)) {
@@ -219,16 +219,17 @@
         logEvent("server_dropped", {{"server", id}});
     }
     this->books.suspects.expire(now);
+    this->books.quotas.expire(now);
     this->books.members.expire(now);
     for (const auto &[address, member] : this->books.members.all()) {
         const bool alive = fleet::FleetMembers::alive(member, now);
         if (this->aliveBefore[address] && !alive) {
-            logEvent("member_lost",
-                     {{"member", address},
-                      {"silent_ms",
-                       static_cast<std::int64_t>((now - member.statedAt).count() / 1000)},
-                      {"fleet_size", static_cast<std::int64_t>(this->books.members.fleetSize(now))},
-                      {"reachable_part", this->books.members.reachablePart(now)}});
+            logEvent(
+                "member_lost",
+                {{"member", address},
+                 {"silent_ms", static_cast<std::int64_t>((now - member.statedAt).count() / 1000)},
+                 {"fleet_size", static_cast<std::int64_t>(this->books.members.fleetSize(now))},
+                 {"reachable_part", this->books.members.reachablePart(now)}});
         }
         this->aliveBefore[address] = alive;
     }
@@ -238,9 +239,9 @@
 auto Gateway::followPeers(Instant now) -> void
 {
     const auto own = this->statement();
-    const bool storeLost = !own.storeReached
-                           && (this->storeLostAt == Instant(0)
-                               || now - this->storeLostAt > StoreLostPatience);
+    const bool storeLost =
+        !own.storeReached
+        && (this->storeLostAt == Instant(0) || now - this->storeLostAt > StoreLostPatience);
     const fleet::Member *newest = nullptr;
     bool configBehind = false;
     for (const auto *member : this->books.members.live(now)) {
@@ -274,9 +275,9 @@
 {
     auto theirs = result.status == Ok ? decodeMirror(result.body) : std::nullopt;
     if (!theirs) {
-        logEvent("peer_fetch_failed", {{"peer", peer},
-                                       {"status", std::int64_t{result.status}},
-                                       {"why", result.failure}});
+        logEvent(
+            "peer_fetch_failed",
+            {{"peer", peer}, {"status", std::int64_t{result.status}}, {"why", result.failure}});
         return;
     }
     const auto before = this->mirror.revision();
@@ -324,7 +325,8 @@
     this->phase = fleet::NodePhase::Draining;
     this->entry.announceClose();
     this->gossip.sendRound();
-    logEvent("stopping", {{"open_requests", static_cast<std::int64_t>(this->scheduler.openRuns())}});
+    logEvent("stopping",
+             {{"open_requests", static_cast<std::int64_t>(this->scheduler.openRuns())}});
 }
 
 auto Gateway::continueStop(Instant now) -> void
@@ -339,9 +341,9 @@
     }
     const bool drained = passed > CloseIdleAfter && this->entry.openSessions() == 0;
     if (drained || passed > this->environment.bounds.stopGrace - StopMargin) {
-        logEvent("drained", {{"after_ms", static_cast<std::int64_t>(passed.count() / 1000)},
-                             {"cut_requests",
-                              static_cast<std::int64_t>(this->scheduler.openRuns())}});
+        logEvent("drained",
+                 {{"after_ms", static_cast<std::int64_t>(passed.count() / 1000)},
+                  {"cut_requests", static_cast<std::int64_t>(this->scheduler.openRuns())}});
         this->context.stop();
     }
 }
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -35,21 +35,21 @@
     }
     json servers = json::array();
     for (const auto &[id, server] : this->books.servers.all()) {
-        servers.push_back({{"id", id},
-                           {"service", server->entry.service},
-                           {"address", server->entry.address},
-                           {"domain", server->entry.domain},
-                           {"slots", server->entry.slots},
-                           {"draining", server->entry.draining},
-                           {"own", server->own.requests},
-                           {"peers", server->peers.requests},
-                           {"cold_ms", std::max<std::int64_t>(0, toMs(server->coldUntil - now))},
-                           {"avoid_ms", std::max<std::int64_t>(0, toMs(server->avoidUntil - now))},
-                           {"ejected_ms",
-                            std::max<std::int64_t>(0, toMs(server->ejectedUntil - now))},
-                           {"prompt_ms_per_token", server->pace.promptMsPerToken},
-                           {"output_ms_per_token", server->pace.outputMsPerToken},
-                           {"failures", server->pace.failures}});
+        servers.push_back(
+            {{"id", id},
+             {"service", server->entry.service},
+             {"address", server->entry.address},
+             {"domain", server->entry.domain},
+             {"slots", server->entry.slots},
+             {"draining", server->entry.draining},
+             {"own", server->own.requests},
+             {"peers", server->peers.requests},
+             {"cold_ms", std::max<std::int64_t>(0, toMs(server->coldUntil - now))},
+             {"avoid_ms", std::max<std::int64_t>(0, toMs(server->avoidUntil - now))},
+             {"ejected_ms", std::max<std::int64_t>(0, toMs(server->ejectedUntil - now))},
+             {"prompt_ms_per_token", server->pace.promptMsPerToken},
+             {"output_ms_per_token", server->pace.outputMsPerToken},
+             {"failures", server->pace.failures}});
     }
     const json state{
         {"node", this->environment.node},
--- a/src/gateway/gossip_codec.cpp
+++ b/src/gateway/gossip_codec.cpp
@@ -13,7 +13,7 @@
 using Statement = std::tuple<std::string, std::string, std::string, std::uint64_t, std::uint64_t,
                              std::uint8_t, std::uint64_t, std::uint64_t, bool, std::int64_t>;
 using Load = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t, float, float>;
-using Spend = std::tuple<std::uint32_t, double, double>;
+using Spend = std::tuple<std::uint32_t, double, double, double>;
 using Suspect = std::tuple<std::uint64_t, std::vector<std::uint32_t>>;
 using Message = std::tuple<int, Statement, std::vector<Statement>, std::vector<Load>,
                            std::vector<Spend>, std::vector<Suspect>, bool>;
@@ -23,16 +23,11 @@
 /** @return A statement as it is sent. */
 auto pack(const fleet::NodeStatement &statement) -> Statement
 {
-    return {statement.peerAddress,
-            statement.entryAddress,
-            statement.domain,
-            statement.incarnation,
-            statement.sequence,
-            static_cast<std::uint8_t>(statement.phase),
-            statement.configVersion,
-            statement.storeRevision,
-            statement.storeReached,
-            statement.age.count()};
+    return {statement.peerAddress,   statement.entryAddress,
+            statement.domain,        statement.incarnation,
+            statement.sequence,      static_cast<std::uint8_t>(statement.phase),
+            statement.configVersion, statement.storeRevision,
+            statement.storeReached,  statement.age.count()};
 }
 
 /** @return A statement as it was received. */
@@ -80,11 +75,12 @@
         std::get<2>(sent).push_back(pack(other));
     }
     for (const auto &load : message.loads) {
-        std::get<3>(sent).emplace_back(load.server, load.requests, load.promptTokens,
+        std::get<3>(sent).emplace_back(load.server, load.requests, load.promptWork,
                                        load.promptMsPerToken, load.outputMsPerToken);
     }
     for (const auto &spend : message.spends) {
-        std::get<4>(sent).emplace_back(spend.organisation, spend.units, spend.recent);
+        std::get<4>(sent).emplace_back(spend.organisation, spend.units, spend.recent,
+                                       spend.askedPerSecond);
     }
     for (const auto &suspect : message.suspects) {
         std::get<5>(sent).emplace_back(suspect.fingerprint, suspect.servers);
@@ -107,8 +103,8 @@
     for (const auto &[server, requests, tokens, promptPace, outputPace] : std::get<3>(*sent)) {
         message.loads.push_back({server, requests, tokens, promptPace, outputPace});
     }
-    for (const auto &[organisation, units, recent] : std::get<4>(*sent)) {
-        message.spends.push_back({organisation, units, recent});
+    for (const auto &[organisation, units, recent, asked] : std::get<4>(*sent)) {
+        message.spends.push_back({organisation, units, recent, asked});
     }
     for (const auto &[fingerprint, servers] : std::get<5>(*sent)) {
         message.suspects.push_back({fingerprint, servers});
--- a/src/gateway/outbound_connection.cpp
+++ b/src/gateway/outbound_connection.cpp
@@ -31,8 +31,8 @@
     const auto colon = address.rfind(':');
     error_code error;
     const auto ip = asio::ip::make_address_v4(address.substr(0, colon), error);
-    const auto port = static_cast<std::uint16_t>(std::strtoul(address.c_str() + colon + 1, nullptr,
-                                                              10));
+    const auto port =
+        static_cast<std::uint16_t>(std::strtoul(address.c_str() + colon + 1, nullptr, 10));
     const asio::ip::tcp::endpoint endpoint(ip, port);
     auto self = this->shared_from_this();
     this->socket.async_connect(endpoint, [self](const error_code &failure) {
@@ -172,8 +172,8 @@
 
 auto OutboundConnection::finishAnswer() -> void
 {
-    const bool keep = !this->closed && this->parser->keep_alive() && !this->writing
-                      && this->buffer.size() == 0;
+    const bool keep =
+        !this->closed && this->parser->keep_alive() && !this->writing && this->buffer.size() == 0;
     this->awaiting = false;
     auto *const finished = std::exchange(this->listener, nullptr);
     finished->onEnd(keep);
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -70,9 +70,10 @@
                                 ? fleet::NodePhase::Starting
                                 : known->second.statement.phase;
         if (this->books.members.take(heard, now)) {
-            logEvent("member_joined", {{"member", heard.peerAddress},
-                                       {"direct", direct},
-                                       {"age_ms", static_cast<std::int64_t>(heard.age.count() / 1000)}});
+            logEvent("member_joined",
+                     {{"member", heard.peerAddress},
+                      {"direct", direct},
+                      {"age_ms", static_cast<std::int64_t>(heard.age.count() / 1000)}});
         } else if (heard.phase == fleet::NodePhase::Draining && before == fleet::NodePhase::Ready) {
             logEvent("member_draining", {{"member", heard.peerAddress}});
         }
@@ -103,7 +104,7 @@
         for (const auto &load : at->second) {
             auto &sum = sums[load.server];
             sum.requests += load.requests;
-            sum.promptTokens += load.promptTokens;
+            sum.promptWork += load.promptWork;
         }
         ++at;
     }
@@ -122,7 +123,7 @@
         if (server->own.requests > 0 || pace.outputMsPerToken > 0) {
             message.loads.push_back(
                 {server->number, server->own.requests,
-                 static_cast<std::uint32_t>(std::max(0.0, server->own.promptTokens)),
+                 static_cast<std::uint32_t>(std::max(0.0, server->own.promptWork)),
                  static_cast<float>(pace.promptMsPerToken),
                  static_cast<float>(pace.outputMsPerToken)});
         }
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -68,16 +68,16 @@
     if (this->sends == 0) {
         books.retries.noteRequest(this->service, now);
         queue.waiting.noteServed(this->organisation ? nameId(this->organisation->name) : 0,
-                                 1 + this->shape.promptTokens + this->shape.outputTokens, now);
+                                 1 + this->shape.promptWork + this->shape.outputTokens, now);
     }
     ++this->sends;
     this->server = chosen;
     this->step("placed", chosen->entry.id + " holds " + std::to_string(chosen->occupied(now)) + "/"
                              + std::to_string(chosen->entry.slots));
     ++chosen->own.requests;
-    chosen->own.promptTokens += this->shape.promptTokens;
+    chosen->own.promptWork += this->shape.promptWork;
     this->promptCounted = true;
-    this->tokensAhead = chosen->own.promptTokens + chosen->peers.promptTokens;
+    this->workAhead = chosen->own.promptWork + chosen->peers.promptWork;
     if (chosen->cold(now)) {
         books.colds.note(chosen->number, now);
     }
@@ -114,15 +114,14 @@
     this->lastDataAt = now;
     auto &target = *this->server;
     if (this->promptCounted) {
-        target.own.promptTokens -= this->shape.promptTokens;
+        target.own.promptWork -= this->shape.promptWork;
         this->promptCounted = false;
     }
     const auto *rule = this->forServer();
     fleet::ServerBook::noteReachable(target, rule != nullptr ? rule->coldFor : Duration(0), now);
     if (head.loadRequests) {
-        target.reportedOthers = *head.loadRequests > target.own.requests
-                                    ? *head.loadRequests - target.own.requests
-                                    : 0;
+        target.reportedOthers =
+            *head.loadRequests > target.own.requests ? *head.loadRequests - target.own.requests : 0;
         target.reportedAt = now;
     }
 }
@@ -141,10 +140,15 @@
 auto RequestRun::forwardEvents(std::string_view data) -> void
 {
     const auto taken = this->events.take(data);
+    const auto now = this->scheduler.clock();
     if (!taken.events.empty()) {
+        if (this->streaming) {
+            this->longestGap = std::max(this->longestGap, now - this->lastEventAt);
+        }
+        this->lastEventAt = now;
         if (!this->streaming) {
             this->streaming = true;
-            this->firstByteAt = this->scheduler.clock();
+            this->firstByteAt = now;
             this->caller->beginStream(this->answer.status, this->answer.reason,
                                       this->answer.headers);
         }
@@ -207,8 +211,8 @@
         return;
     }
     this->firstByteAt = this->scheduler.clock();
-    this->caller->answer({this->answer.status, this->answer.reason, this->answer.headers,
-                          std::move(this->body)});
+    this->caller->answer(
+        {this->answer.status, this->answer.reason, this->answer.headers, std::move(this->body)});
     this->finish(Cause::None, this->answer.status);
 }
 
@@ -296,8 +300,15 @@
 auto RequestRun::finishExchangeTiming() -> void
 {
     const auto now = this->scheduler.clock();
-    fleet::learnPace(*this->server, this->shape, this->tokensAhead, this->answerAt - this->sentAt,
-                     now - this->answerAt);
+    const auto *rule = this->forServer();
+    const auto delivered = static_cast<double>(this->events.delivered());
+    const double output =
+        (rule != nullptr ? rule->tokensPerEvent : 1) * std::max(0.0, delivered - 1);
+    fleet::learnPace(*this->server, this->shape, this->workAhead, this->answerAt - this->sentAt,
+                     now - this->answerAt, output);
+    if (delivered > 0) {
+        this->scheduler.noteOutput(this->route->prefix, output);
+    }
 }
 
 auto RequestRun::endExchange(fleet::ServerVerdict verdict) -> void
@@ -305,7 +316,7 @@
     auto &target = *this->server;
     --target.own.requests;
     if (this->promptCounted) {
-        target.own.promptTokens -= this->shape.promptTokens;
+        target.own.promptWork -= this->shape.promptWork;
         this->promptCounted = false;
     }
     if (this->scheduler.books.servers.judge(target, verdict, this->scheduler.clock())) {
@@ -322,8 +333,8 @@
         || this->serversRun + 1 >= this->route->maxServers) {
         return false;
     }
-    const auto limit = this->streaming ? GapStall * this->route->gapTarget
-                                       : TargetStall * this->route->target;
+    const auto limit =
+        this->streaming ? GapStall * this->route->gapTarget : TargetStall * this->route->target;
     return now - this->lastDataAt
            > std::max(LeastStall, std::chrono::duration_cast<Duration>(limit));
 }
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -140,8 +140,12 @@
     std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
     this->service = this->route->targets.at(pick(this->scheduler.random)).service;
     const auto *rule = this->forServer();
-    this->shape = {rule != nullptr && rule->engine, this->request.promptTokens,
-                   this->request.outputTokens, 0, this->scheduler.nodeHash};
+    this->shape = {rule != nullptr && rule->engine,
+                   fleet::promptWork(this->request.promptTokens),
+                   this->scheduler.usualOutput(this->route->prefix, this->request.outputTokens),
+                   this->request.expectedOutput.value_or(0),
+                   0,
+                   this->scheduler.nodeHash};
     this->enqueue(std::chrono::duration_cast<Duration>(this->patience() * QueuePatience));
 }
 
@@ -208,7 +212,7 @@
     const auto first = milliseconds(static_cast<std::int64_t>(
         FirstByteMargin * fleet::expectedFirstMs(fleet::Server{}, this->shape)));
     const auto organisationId = this->organisation ? nameId(this->organisation->name) : 0;
-    const double cost = 1 + this->shape.promptTokens + this->shape.outputTokens;
+    const double cost = 1 + this->shape.promptWork + this->shape.outputTokens;
     const bool again = this->sends > 0;
     const auto dueAt =
         again ? now + RepeatDue : this->request.arrivedAt + this->route->target - first;
@@ -243,9 +247,9 @@
                            ? Cause::NoServer
                            : Cause::Overload;
     if (!this->mayHaveRun) {
-        this->refuse(503, cause,
-                     this->comeBackAfter(
-                         this->scheduler.expectedWait(this->service, this->tier())));
+        this->refuse(
+            503, cause,
+            this->comeBackAfter(this->scheduler.expectedWait(this->service, this->tier())));
         return;
     }
     this->failUnknown(502, cause);
@@ -286,7 +290,7 @@
 {
     if (this->units > 0 && this->organisation != nullptr) {
         this->scheduler.books.quotas.giveBack(this->organisation->name, this->units,
-                                                this->scheduler.clock());
+                                              this->scheduler.clock());
     }
     WholeAnswer refusal{status, phraseOf(status), {}, ""};
     if (retryAfter > Duration(0)) {
@@ -326,8 +330,7 @@
     const auto first = this->firstByteAt > Instant(0) ? this->firstByteAt : now;
     const std::uint32_t tier = this->route != nullptr ? this->tier() : 0;
     this->scheduler.metrics.noteEnd({this->service, tier, std::string(causeName(cause))},
-                                    first - this->request.arrivedAt,
-                                    now - this->request.arrivedAt);
+                                    first - this->request.arrivedAt, now - this->request.arrivedAt);
     this->writeLog(cause, status);
     this->caller.reset();
     this->scheduler.finished.push_back(this->number);
@@ -351,6 +354,9 @@
         story.push_back(std::move(text));
     }
     const auto took = std::chrono::duration_cast<milliseconds>(now - this->request.arrivedAt);
+    const auto first = std::chrono::duration_cast<milliseconds>(
+        this->firstByteAt > Instant(0) ? this->firstByteAt - this->request.arrivedAt : Duration(0));
+    const auto gap = std::chrono::duration_cast<milliseconds>(this->longestGap);
     const bool calm = cause == Cause::None && status < 500;
     logEvent("request",
              {{"request_id", this->request.id},
@@ -361,6 +367,10 @@
               {"config", static_cast<std::int64_t>(this->config ? this->config->version : 0)},
               {"may_have_run", this->mayHaveRun || cause == Cause::None},
               {"took_ms", std::int64_t{took.count()}},
+              {"first_byte_ms", std::int64_t{first.count()}},
+              {"longest_gap_ms", std::int64_t{gap.count()}},
+              {"prompt_tokens", this->request.promptTokens},
+              {"expected_output_tokens", this->shape.outputTokens},
               {"steps", std::move(story)}},
              calm ? LogClass::Calm : LogClass::Notable);
 }
--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -10,6 +10,9 @@
 
 /** Requests behind one that no server can take are rarely better off; bounds the work. */
 constexpr int FailuresPerRound = 3;
+constexpr double OutputWeight = 0.1; ///< Weight of one answer in a route's usual output.
+/** Part of the declared most that an answer takes, until the route has shown better. */
+constexpr double UsualOutputPart = 0.1;
 
 } // namespace
 
@@ -88,6 +91,18 @@
     this->settling = false;
 }
 
+auto Scheduler::noteOutput(const std::string &prefix, double tokens) -> void
+{
+    auto &usual = this->outputs[prefix];
+    usual = usual > 0 ? usual + OutputWeight * (tokens - usual) : tokens;
+}
+
+auto Scheduler::usualOutput(const std::string &prefix, double most) const -> double
+{
+    const auto found = this->outputs.find(prefix);
+    return found == this->outputs.end() ? most * UsualOutputPart : std::min(most, found->second);
+}
+
 auto Scheduler::place(const std::string &service) -> void
 {
     auto &queue = this->queues[service];
