Tests of the platform path; limits hold through restarts and cuts

Causes: the larger group of a partition took a tenth more of the tolerance as well; a young node used a whole window at once; what a young peer had admitted before it was first heard of was not counted; most of a window could go in its first half. Also: the expected wait stood on dispatches of the last seconds, which says nothing when traffic begins; it now stands on running requests and their usual time.

--- a/include/banyanring/fleet/fleet_members.h
+++ b/include/banyanring/fleet/fleet_members.h
@@ -69,8 +69,7 @@
     auto fleetSize(Instant now) const -> std::size_t;
 
     /**
-     * Gives the part of fleet-wide limits that the nodes in contact may use together. Two sides of
-     * a partition stay near the whole together: see docs/PLATFORM.md.
+     * Gives the part of the remembered nodes that is in contact.
      * @param now The present.
      * @return 0 to 1.
      */
--- a/include/banyanring/fleet/limit_shares.h
+++ b/include/banyanring/fleet/limit_shares.h
@@ -12,13 +12,6 @@
 
 namespace banyanring::fleet {
 
-/** The nodes in contact with each other. */
-struct ReachableGroup
-{
-    double part = 1; ///< Part of the fleet-wide limits that they may use together.
-    std::size_t nodes = 1; ///< How many they are.
-};
-
 /** Counts events over a sliding window, in buckets. */
 class WindowCounter
 {
@@ -40,6 +33,13 @@
      */
     auto sum(Instant now) -> double;
 
+    /**
+     * Sums the newer half of the window.
+     * @param now The present.
+     * @return The sum.
+     */
+    auto recentSum(Instant now) -> double;
+
     /**
      * Tells when enough of the window has passed for some of its sum to fall out.
      * @param amount What has to fall out.
@@ -74,7 +74,8 @@
  * Organisations' limits. Each node keeps an estimate of what the whole fleet has admitted in the
  * sliding window: its own admissions at once, its peers' by gossip. The nodes in contact share the
  * part of the limit that falls to them. Gossip is late, so the sum passes the limit by what is
- * admitted meanwhile; the tolerance of the limit covers that.
+ * admitted meanwhile; the tolerance of the limit covers that. A process that has just started has
+ * forgotten what it admitted: it assumes a spent window until an older peer tells it the sum.
  */
 class QuotaLedger
 {
@@ -91,12 +92,12 @@
      * Counts a request's units.
      * @param organisation Its organisation.
      * @param units Its units.
-     * @param group The nodes in contact.
+     * @param part Part of the fleet that is in contact.
      * @param now The present.
      * @return Whether it is within the limit; nothing is counted otherwise.
      */
-    auto admit(const OrganisationRule &organisation, double units, const ReachableGroup &group,
-               Instant now) -> bool;
+    auto admit(const OrganisationRule &organisation, double units, double part, Instant now)
+        -> bool;
 
     /**
      * Gives back what a request that did not run was counted with.
@@ -143,8 +144,8 @@
     {
         WindowCounter own; ///< By this node.
         WindowCounter peers; ///< By the others, since they were first heard of.
-        WindowCounter told; ///< By the others before that, as they told.
-        WindowCounter assumed; ///< By anyone before this process started.
+        WindowCounter before; ///< By anyone before this process started: assumed, or told.
+        bool beforeTold = false; ///< A peer has told it.
         WindowCounter asked; ///< Asked for at this node of late, admitted or not.
         double ownTotal = 0; ///< By this node since its start.
         double limit = 0; ///< Limit of a window, without tolerance.
@@ -152,15 +153,14 @@
         /** @return What all nodes have admitted in the window, as far as known. */
         auto sum(Instant now) -> double
         {
-            return this->own.sum(now) + this->peers.sum(now)
-                   + std::max(this->told.sum(now), this->assumed.sum(now));
+            return this->own.sum(now) + this->peers.sum(now) + this->before.sum(now);
         }
     };
 
     auto account(std::uint32_t organisation) -> Account &;
     auto windowLimit(const OrganisationRule &organisation) const -> double;
-    auto usableLimit(const OrganisationRule &organisation, Account &held,
-                     const ReachableGroup &group, Instant now) const -> double;
+    auto usableLimit(const OrganisationRule &organisation, Account &held, double part,
+                     Instant now) const -> double;
 
     FleetBounds bounds;
     Instant startedAt;
--- a/include/banyanring/fleet/peer_state_type.h
+++ b/include/banyanring/fleet/peer_state_type.h
@@ -45,7 +45,7 @@
 {
     std::uint32_t organisation = 0; ///< nameId of the organisation.
     double units = 0; ///< Units, since the incarnation began.
-    double recent = 0; ///< Units of the last window.
+    double fleetRecent = 0; ///< Units of the last window by all nodes; 0 if the node is too young.
     double askedPerSecond = 0; ///< Units asked for there of late, admitted or not.
 };
 
--- a/include/banyanring/fleet/server_book.h
+++ b/include/banyanring/fleet/server_book.h
@@ -31,7 +31,7 @@
 struct Server
 {
     ServerEntry entry; ///< What it registered.
-    std::uint32_t number = 0; ///< Hash of the id, used between nodes.
+    std::uint32_t number = 0; ///< Hash of id and start, used between nodes.
     Instant coldUntil{}; ///< Cold until then.
     Instant removeAt = Never; ///< Its entry went; used until then in case the store lost it only.
     Instant avoidUntil{}; ///< Connections failed; not used until then.
--- a/include/banyanring/gateway/scheduler.h
+++ b/include/banyanring/gateway/scheduler.h
@@ -95,14 +95,12 @@
 private:
     friend class RequestRun;
 
-    /** Time over which the speed of a queue is measured: some dozens of requests. */
-    static constexpr Duration RateWindow = std::chrono::seconds(2);
-
     /** Waiting requests of a service and how fast they are served. */
     struct ServiceQueue
     {
         fleet::AdmissionQueue waiting;
-        fleet::WindowCounter sent{RateWindow}; ///< Dispatches of late.
+        std::size_t running = 0; ///< This node's requests at servers.
+        double averageMs = 0; ///< Usual time of a request at a server; 0 unknown.
     };
 
     auto queueOf(const std::string &service) -> ServiceQueue &
--- a/src/fleet/fleet_members.cpp
+++ b/src/fleet/fleet_members.cpp
@@ -17,8 +17,6 @@
 /** Gossip reaches everyone within it; until then the fleet may be larger than what is known. */
 constexpr Duration YoungFor = seconds(2);
 constexpr std::size_t YoungFleetSize = 8; ///< The usual number of nodes of a small installation.
-constexpr double HalfPart = 0.5; ///< Part from which a group counts as the larger one.
-constexpr double LargerGroupExtra = 0.1; ///< What the larger group uses of the others' part.
 constexpr Duration SeedInterval = milliseconds(500); ///< Between messages to an unknown seed.
 
 } // namespace
@@ -69,9 +67,8 @@
 
 auto FleetMembers::reachablePart(Instant now) const -> double
 {
-    const auto part =
-        static_cast<double>(this->live(now).size() + 1) / static_cast<double>(this->fleetSize(now));
-    return part < HalfPart ? part : std::min(1.0, part + LargerGroupExtra);
+    return static_cast<double>(this->live(now).size() + 1)
+           / static_cast<double>(this->fleetSize(now));
 }
 
 auto FleetMembers::ownsCold(std::uint32_t server, std::size_t owners, Instant now) const -> bool
--- a/src/fleet/limit_shares.cpp
+++ b/src/fleet/limit_shares.cpp
@@ -11,15 +11,18 @@
 /** Part of the tolerated overshoot that is used at most, and at least. */
 constexpr double MostTolerance = 0.9;
 constexpr double LeastTolerance = 0.3;
+/** Two groups of a partition may both count themselves as the larger one for a moment. */
+constexpr double HalfPart = 0.5;
+constexpr double LargerGroupExtra = 0.05; ///< What the larger group uses of the others' part.
+/** Part of a window's limit that may go in half of it: a restart forgets the other half only. */
+constexpr double HalfWindowPart = 0.7;
 /** What is asked for within it may be admitted by several nodes before they hear of each other. */
 constexpr Duration GossipLag = std::chrono::milliseconds(350);
 constexpr Duration AskedWindow = std::chrono::seconds(2); ///< Measures the present demand.
 /** Longer than a partition usually lasts; a peer that comes back later counts as a new one. */
 constexpr Duration PeerMemory = std::chrono::seconds(60);
-/**
- * Part of a limit that a new process takes for spent already, evenly over the window before its
- * start: it has forgotten what it admitted. Requests at the usual rate fit beside it.
- */
+/** Part of a limit that a new process uses, and part that it assumes spent, evenly, before. */
+constexpr double YoungLimit = 0.9;
 constexpr double AssumedSpent = 0.8;
 constexpr double RetryMargin = 0.8; ///< Part of the share used; restarted nodes count anew.
 constexpr double ColdMargin = 0.85; ///< Part of the cold bound used; clocks of bursts differ.
@@ -56,6 +59,17 @@
     return result;
 }
 
+auto WindowCounter::recentSum(Instant now) -> double
+{
+    this->advance(now);
+    const auto size = static_cast<std::int64_t>(this->amounts.size());
+    double result = 0;
+    for (std::int64_t age = 0; age <= Buckets / 2 && age <= this->newest; ++age) {
+        result += this->amounts.at(static_cast<std::size_t>((this->newest - age) % size));
+    }
+    return result;
+}
+
 auto WindowCounter::spread(double amount, Instant now) -> void
 {
     this->advance(now);
@@ -83,7 +97,7 @@
 {
     const WindowCounter empty(this->bounds.quotaWindow);
     return this->accounts
-        .try_emplace(organisation, Account{empty, empty, empty, empty, WindowCounter(AskedWindow)})
+        .try_emplace(organisation, Account{empty, empty, empty, false, WindowCounter(AskedWindow)})
         .first->second;
 }
 
@@ -93,19 +107,20 @@
     return organisation.ratePerSecond * window + organisation.burst;
 }
 
-auto QuotaLedger::usableLimit(const OrganisationRule &organisation, Account &held,
-                              const ReachableGroup &group, Instant now) const -> double
+auto QuotaLedger::usableLimit(const OrganisationRule &organisation, Account &held, double part,
+                              Instant now) const -> double
 {
     const double limit = this->windowLimit(organisation);
+    const double limitPart = part < HalfPart ? part : std::min(1.0, part + LargerGroupExtra);
     if (now - this->startedAt < this->bounds.quotaWindow) {
-        return limit * group.part;
+        return YoungLimit * limit * limitPart;
     }
     const double slack = organisation.countsTokens ? this->bounds.quotaSlack : 0;
     const double tolerance = limit * this->bounds.quotaOvershoot + slack;
     const double unheard = this->demand(nameId(organisation.name), held, now)
                            * std::chrono::duration<double>(GossipLag).count();
-    return (limit + std::max(LeastTolerance * tolerance, MostTolerance * tolerance - unheard))
-           * group.part;
+    return limit * limitPart
+           + std::max(LeastTolerance * tolerance, MostTolerance * tolerance - unheard) * part;
 }
 
 auto QuotaLedger::demand(std::uint32_t organisation, Account &held, Instant now) const -> double
@@ -120,24 +135,27 @@
     return perSecond;
 }
 
-auto QuotaLedger::admit(const OrganisationRule &organisation, double units,
-                        const ReachableGroup &group, Instant now) -> bool
+auto QuotaLedger::admit(const OrganisationRule &organisation, double units, double part,
+                        Instant now) -> bool
 {
     auto &held = this->account(nameId(organisation.name));
     held.asked.add(units, now);
     if (organisation.ratePerSecond > 0) {
         const double limit = this->windowLimit(organisation);
-        if (held.limit == 0 && now - this->startedAt < this->bounds.quotaWindow) {
-            held.assumed.spread(AssumedSpent * limit, this->startedAt);
+        if (held.limit == 0 && !held.beforeTold
+            && now - this->startedAt < this->bounds.quotaWindow) {
+            held.before.spread(AssumedSpent * limit, this->startedAt);
         }
         if (limit < held.limit) {
             // What was admitted under the higher limit was allowed.
-            for (auto *counter : {&held.own, &held.peers, &held.told, &held.assumed}) {
+            for (auto *counter : {&held.own, &held.peers, &held.before}) {
                 counter->clear();
             }
         }
         held.limit = limit;
-        if (held.sum(now) + units > this->usableLimit(organisation, held, group, now)) {
+        const double usable = this->usableLimit(organisation, held, part, now);
+        const double recent = held.own.recentSum(now) + held.peers.recentSum(now);
+        if (held.sum(now) + units > usable || recent + units > HalfWindowPart * usable) {
             return false;
         }
     }
@@ -171,9 +189,13 @@
         const double fresh = spend.units - known->second.total;
         known->second = {spend.units, spend.askedPerSecond, now};
         auto &held = this->account(spend.organisation);
-        if (added) {
-            held.told.spread(spend.recent, now);
-        } else if (fresh != 0) {
+        if (added && spend.fleetRecent > 0 && !held.beforeTold
+            && now - this->startedAt < this->bounds.quotaWindow) {
+            held.beforeTold = true;
+            held.before.clear();
+            held.before.spread(spend.fleetRecent, now);
+        } else if (fresh != 0 && (!added || spend.fleetRecent == 0)) {
+            // A young peer has admitted all of its total within the window.
             held.peers.add(fresh, now);
         }
     }
@@ -182,11 +204,12 @@
 auto QuotaLedger::ownSpends(Instant now) -> std::vector<SpendStatement>
 {
     const auto seconds = std::chrono::duration<double>(AskedWindow).count();
+    const bool young = now - this->startedAt < this->bounds.quotaWindow;
     std::vector<SpendStatement> result;
     for (auto &[organisation, held] : this->accounts) {
         if (held.ownTotal > 0 || held.asked.sum(now) > 0) {
-            result.push_back(
-                {organisation, held.ownTotal, held.own.sum(now), held.asked.sum(now) / seconds});
+            result.push_back({organisation, held.ownTotal, young ? 0 : held.sum(now),
+                              held.asked.sum(now) / seconds});
         }
     }
     return result;
--- a/src/gateway/gossip_codec.cpp
+++ b/src/gateway/gossip_codec.cpp
@@ -79,7 +79,7 @@
                                        load.promptMsPerToken, load.outputMsPerToken);
     }
     for (const auto &spend : message.spends) {
-        std::get<4>(sent).emplace_back(spend.organisation, spend.units, spend.recent,
+        std::get<4>(sent).emplace_back(spend.organisation, spend.units, spend.fleetRecent,
                                        spend.askedPerSecond);
     }
     for (const auto &suspect : message.suspects) {
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -17,6 +17,7 @@
 constexpr Duration LeastStall = milliseconds(800);
 constexpr double TargetStall = 2.5; ///< Times the latency target, before the first byte.
 constexpr double GapStall = 4; ///< Times the longest pause, inside a stream.
+constexpr double AverageWeight = 0.05; ///< Weight of one request in the usual time of all.
 constexpr std::size_t MostUnsent = 262144; ///< A slow caller stops the reading beyond it.
 constexpr int FirstFailureStatus = 500; ///< Statuses from here are failures of the server.
 constexpr int SuccessClass = 2; ///< Statuses of 200 to 299.
@@ -64,7 +65,7 @@
     auto &books = this->scheduler.books;
     const auto now = this->scheduler.clock();
     auto &queue = this->scheduler.queueOf(this->service);
-    queue.sent.add(1, now);
+    ++queue.running;
     if (this->sends == 0) {
         books.retries.noteRequest(this->service, now);
         queue.waiting.noteServed(this->organisation ? nameId(this->organisation->name) : 0,
@@ -314,6 +315,13 @@
 auto RequestRun::endExchange(fleet::ServerVerdict verdict) -> void
 {
     auto &target = *this->server;
+    auto &queue = this->scheduler.queueOf(this->service);
+    --queue.running;
+    if (verdict == fleet::ServerVerdict::Good) {
+        const auto tookMs =
+            static_cast<double>((this->scheduler.clock() - this->sentAt).count()) / 1000;
+        queue.averageMs += (queue.averageMs > 0 ? AverageWeight : 1) * (tookMs - queue.averageMs);
+    }
     --target.own.requests;
     if (this->promptCounted) {
         target.own.promptWork -= this->shape.promptWork;
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -168,12 +168,11 @@
     const auto cost = this->organisation->countsTokens && this->request.countsTokens
                           ? this->request.promptTokens + this->request.outputTokens
                           : this->organisation->plainUnits;
-    const fleet::ReachableGroup group{books.members.reachablePart(now),
-                                      books.members.live(now).size() + 1};
-    if (!books.quotas.admit(*this->organisation, cost, group, now)) {
-        this->step("over_quota", std::to_string(static_cast<std::int64_t>(cost)) + " units, part "
-                                     + std::to_string(group.part) + " of "
-                                     + std::to_string(group.nodes) + " nodes");
+    const auto part = books.members.reachablePart(now);
+    if (!books.quotas.admit(*this->organisation, cost, part, now)) {
+        this->step("over_quota", std::to_string(static_cast<std::int64_t>(cost))
+                                     + " units, part of the fleet in contact "
+                                     + std::to_string(part));
         this->refuse(429, Cause::OverQuota,
                      books.quotas.retryAfter(*this->organisation, cost, now));
         return false;
--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -134,15 +134,10 @@
 
 auto Scheduler::expectedWait(const std::string &service, std::uint32_t tier) -> Duration
 {
-    const auto now = this->clock();
-    auto &queue = this->queues[service];
-    const double perSecond =
-        queue.sent.sum(now) / std::chrono::duration<double>(RateWindow).count();
-    if (perSecond < 1) {
-        return Duration(0);
-    }
-    const auto ahead = static_cast<double>(queue.waiting.ahead(tier, now));
-    return Duration(static_cast<std::int64_t>(ahead / perSecond * 1e6));
+    const auto &queue = this->queues[service];
+    const auto ahead = static_cast<double>(queue.waiting.ahead(tier, this->clock()));
+    const auto running = static_cast<double>(std::max<std::size_t>(1, queue.running));
+    return Duration(static_cast<std::int64_t>(ahead * queue.averageMs * 1000 / running));
 }
 
 auto Scheduler::reap() -> void
--- /dev/null
+++ b/tests/fleet/platform_tests.cpp
@@ -0,0 +1,347 @@
+/** @file platform_tests.cpp Tests of the platform's formats: settings, store, headers, gossip. */
+#include "banyanring/gateway/gossip_codec.h"
+#include "request_headers.h"
+#include "settings_file.h"
+#include "small_doors.h"
+#include "store_codec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace banyanring;
+using namespace banyanring::platform;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+namespace http = boost::beast::http;
+
+constexpr auto Settings = "node_name=n-1\n"
+                          "ip=10.1.0.2\n"
+                          "zone=z-a\n"
+                          "zones.z-a=r\n"
+                          "zones.z-b=r\n"
+                          "listen.front=10.1.0.2:81\n"
+                          "listen.ready=10.1.0.2:82\n"
+                          "listen.control=10.1.0.2:83\n"
+                          "listen.directory=10.1.0.2:84\n"
+                          "port_range=7600,7615\n"
+                          "seeds=10.1.0.2:83,10.2.0.2:83\n"
+                          "platform.address=10.9.0.1:90\n"
+                          "bounds.grace_s=8\n"
+                          "bounds.drain_ms=2500\n"
+                          "a.new.field=whatever\n";
+
+/** The settings file. */
+class SettingsFileFixture : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SettingsFileFixture);
+    CPPUNIT_TEST(parse_wholeFile_givesTheEnvironment);
+    CPPUNIT_TEST(parse_missingField_namesIt);
+    CPPUNIT_TEST(parse_malformedNumber_namesTheLine);
+    CPPUNIT_TEST(parse_lineWithoutEquals_namesTheLine);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /** @return What the error says, or an empty text. */
+    static auto errorOf(const std::string &text) -> std::string
+    {
+        try {
+            parseSettings(text);
+            return "";
+        } catch (const SettingsFileError &error) {
+            return error.what();
+        }
+    }
+
+    auto parse_wholeFile_givesTheEnvironment() -> void
+    {
+        const auto environment = parseSettings(Settings);
+        CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.2:81"), environment.entry.text());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.2:83"), environment.peers.text());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.2:7601"), environment.metrics.text());
+        CPPUNIT_ASSERT_EQUAL(std::string("10.9.0.1:90"), environment.store.text());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, environment.seeds.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, environment.domains.size());
+        CPPUNIT_ASSERT(environment.bounds.stopGrace == seconds(8));
+        CPPUNIT_ASSERT(environment.bounds.drain == milliseconds(2500));
+    }
+
+    auto parse_missingField_namesIt() -> void
+    {
+        CPPUNIT_ASSERT(errorOf("node_name=n\nip=1.2.3.4\n").find("listen.front")
+                       != std::string::npos);
+    }
+
+    auto parse_malformedNumber_namesTheLine() -> void
+    {
+        const auto error = errorOf(std::string(Settings) + "bounds.quota_slack=many\n");
+        CPPUNIT_ASSERT(error.find("line 16: bounds.quota_slack") != std::string::npos);
+    }
+
+    auto parse_lineWithoutEquals_namesTheLine() -> void
+    {
+        CPPUNIT_ASSERT(errorOf("node_name=n\nrubbish\n").find("line 2") != std::string::npos);
+    }
+};
+
+/** What the store publishes. */
+class StoreCodecFixture : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(StoreCodecFixture);
+    CPPUNIT_TEST(config_whole_isDecoded);
+    CPPUNIT_TEST(config_broken_isRefused);
+    CPPUNIT_TEST(server_ready_isDecoded);
+    CPPUNIT_TEST(server_foreignEntries_areRefused);
+    CPPUNIT_TEST(range_page_isDecoded);
+    CPPUNIT_TEST(watch_changes_areDecoded);
+    CPPUNIT_TEST(keys_kinds_areTold);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto config_whole_isDecoded() -> void
+    {
+        const auto config = decodeConfig(
+            R"({"version":7,"routes":[
+                {"name":"r1","hostname":"h","prefix":"/a/","route_type":"streaming",
+                 "timeout_ms":15000,"target_latency_ms":300,"priority":1,"resumable":true,
+                 "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+                 "max_attempts":2,"anonymous":false,"sticky":true,"gap_target_ms":200},
+                {"hostname":"h","prefix":"/a/b/","route_type":"idempotent","service":"s2"}],
+              "services":[{"name":"s1","max_connections":9,"cold_s":3.0,"cold_per_s":13.0,
+                           "engine":{"slots":11,"stride":5}},{"name":"s2"}],
+              "limits":{"max_header_bytes":1000,"max_body_bytes":2000,"header_timeout_ms":3000,
+                        "idle_timeout_ms":15000},
+              "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1,"unit":"tokens",
+                          "plain_tokens":200,"rate_per_s":10,"burst":20}]})");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, config->version);
+        const auto &routes = config->routes.at("h");
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/b/"), routes[0].prefix);
+        CPPUNIT_ASSERT(routes[0].idempotent);
+        CPPUNIT_ASSERT(routes[1].repeatable());
+        CPPUNIT_ASSERT_EQUAL(90U, routes[1].targets[0].weight);
+        CPPUNIT_ASSERT(routes[1].timeout == seconds(15));
+        CPPUNIT_ASSERT(config->services.at("s1").engine);
+        CPPUNIT_ASSERT_EQUAL(5.0, config->services.at("s1").tokensPerEvent);
+        CPPUNIT_ASSERT(!config->services.at("s2").engine);
+        CPPUNIT_ASSERT_EQUAL(std::string("t"), config->keys.at("k2"));
+        CPPUNIT_ASSERT(config->organisations.at("t").countsTokens);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2000}, config->limits.bodyBytes);
+    }
+
+    auto config_broken_isRefused() -> void
+    {
+        CPPUNIT_ASSERT_THROW(decodeConfig("{"), StoreCodecError);
+        CPPUNIT_ASSERT_THROW(decodeConfig(R"({"version":"x","routes":[]})"), StoreCodecError);
+        CPPUNIT_ASSERT_THROW(decodeConfig(R"({"version":1,"routes":[{"prefix":"/"}]})"),
+                             StoreCodecError);
+    }
+
+    auto server_ready_isDecoded() -> void
+    {
+        const auto entry =
+            decodeServer("i-1", R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":11,
+                       "state":"draining","cold_left_ms":1500,"seq":4,"born":99})");
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), entry.id);
+        CPPUNIT_ASSERT(entry.draining);
+        CPPUNIT_ASSERT(entry.coldLeft == milliseconds(1500));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{99}, entry.bornMs);
+    }
+
+    auto server_foreignEntries_areRefused() -> void
+    {
+        for (const auto *text :
+             {"", "\xff\xfe", "[]", "7", R"({"service":"s"})",
+              R"({"service":"s","address":"a:1","zone":"z","slots":"x","state":"ready"})",
+              R"({"service":"s","address":"a:1","zone":"z","slots":1,"state":"odd"})",
+              R"({"service":"s","address":"a","zone":"z","slots":1,"state":"ready"})",
+              R"({"service":5,"address":"a:1","zone":"z","slots":1,"state":"ready"})"}) {
+            CPPUNIT_ASSERT_THROW_MESSAGE(text, decodeServer("i-1", text), StoreCodecError);
+        }
+    }
+
+    auto range_page_isDecoded() -> void
+    {
+        const auto page = decodeRange(
+            R"({"entries":[{"key":"servers/a","value":"bm9kZS0x","mod_revision":412},
+                           {"key":"servers/b","value":"","mod_revision":413}],
+                "more_pages":true,"as_of":530})");
+        CPPUNIT_ASSERT_EQUAL(std::string("node-1"), page.items.at("servers/a").value);
+        CPPUNIT_ASSERT_EQUAL(std::string("servers/b"), page.lastKey);
+        CPPUNIT_ASSERT(page.more);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{530}, page.asOf);
+        CPPUNIT_ASSERT_THROW(decodeRange("{}"), StoreCodecError);
+    }
+
+    auto watch_changes_areDecoded() -> void
+    {
+        const auto batch = decodeWatch(
+            R"({"events":[{"key":"my/leader","value":"bm9kZS0x","mod_revision":412},
+                          {"key":"my/old","mod_revision":413,"removed":true}],"as_of":413})");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, batch.changes.size());
+        CPPUNIT_ASSERT(!batch.changes[0].removed);
+        CPPUNIT_ASSERT(batch.changes[1].removed);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{413}, batch.asOf);
+    }
+
+    auto keys_kinds_areTold() -> void
+    {
+        CPPUNIT_ASSERT(classifyKey("op/config").first == KeyKind::Config);
+        CPPUNIT_ASSERT(classifyKey("op/evacuate/z").first == KeyKind::DomainOut);
+        CPPUNIT_ASSERT_EQUAL(std::string("z"), std::string(classifyKey("op/evacuate/z").second));
+        CPPUNIT_ASSERT(classifyKey("servers/i-1").first == KeyKind::Server);
+        CPPUNIT_ASSERT(classifyKey("op/other").first == KeyKind::Other);
+    }
+};
+
+/** Headers of requests and answers. */
+class HeadersFixture : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HeadersFixture);
+    CPPUNIT_TEST(request_whole_isDecoded);
+    CPPUNIT_TEST(request_forgedHeaders_areDropped);
+    CPPUNIT_TEST(dispatch_body_isFramedByLength);
+    CPPUNIT_TEST(answer_rejected_isDecoded);
+    CPPUNIT_TEST(answer_sealed_keepsItsHeaders);
+    CPPUNIT_TEST(addresses_none_sendsToAnotherNode);
+    CPPUNIT_TEST(gossip_roundTrip_keepsEverything);
+    CPPUNIT_TEST(gossip_garbage_isNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    static auto header() -> RequestHeader
+    {
+        RequestHeader result;
+        result.method_string("POST");
+        result.target("/a/b?x=1");
+        result.set(http::field::host, "h:80");
+        result.set("X-Attempt-Id", "try-1");
+        result.set("X-Token-Counts", "1460,80");
+        result.set("X-Length-Hint", "33");
+        result.set("X-Deadline-Remaining", "1500");
+        result.set("Authorization", "Bearer secret");
+        result.set("X-Custom", "kept");
+        return result;
+    }
+
+    auto request_whole_isDecoded() -> void
+    {
+        const auto request = decodeRequest(header());
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/b"), request.path);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/b?x=1"), request.target);
+        CPPUNIT_ASSERT_EQUAL(std::string("h"), request.host);
+        CPPUNIT_ASSERT_EQUAL(std::string("secret"), request.key);
+        CPPUNIT_ASSERT_EQUAL(1460.0, request.promptTokens);
+        CPPUNIT_ASSERT_EQUAL(80.0, request.outputTokens);
+        CPPUNIT_ASSERT_EQUAL(33.0, *request.expectedOutput);
+        CPPUNIT_ASSERT(request.timeLeft == milliseconds(1500));
+    }
+
+    auto request_forgedHeaders_areDropped() -> void
+    {
+        auto forged = header();
+        for (const auto *name : {"X-Tenant", "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From",
+                                 "kv-fetch", "x-expect-instance", "Transfer-Encoding", "Hop"}) {
+            forged.set(name, "forged");
+        }
+        forged.set(http::field::connection, "keep-alive, Hop");
+        const auto bytes = encodeDispatch(decodeRequest(forged), {"i-1", "org", seconds(1), {}});
+        CPPUNIT_ASSERT(bytes.find("forged") == std::string::npos);
+        CPPUNIT_ASSERT(bytes.find("secret") == std::string::npos);
+        CPPUNIT_ASSERT(bytes.find("X-Custom: kept\r\n") != std::string::npos);
+        CPPUNIT_ASSERT(bytes.find("X-Tenant: org\r\n") != std::string::npos);
+        CPPUNIT_ASSERT(bytes.find("X-Expect-Instance: i-1\r\n") != std::string::npos);
+        CPPUNIT_ASSERT(bytes.find("X-Attempt-Id: try-1\r\n") != std::string::npos);
+    }
+
+    auto dispatch_body_isFramedByLength() -> void
+    {
+        auto request = decodeRequest(header());
+        request.body = "12345";
+        request.hasLength = true;
+        const auto bytes = encodeDispatch(request, {"i-1", "", seconds(1), 7});
+        CPPUNIT_ASSERT(bytes.starts_with("POST /a/b?x=1 HTTP/1.1\r\n"));
+        CPPUNIT_ASSERT(bytes.find("Content-Length: 5\r\n") != std::string::npos);
+        CPPUNIT_ASSERT(bytes.find("X-Deadline-Remaining: 1000\r\n") != std::string::npos);
+        CPPUNIT_ASSERT(bytes.find("Last-Event-Id: 7\r\n") != std::string::npos);
+        CPPUNIT_ASSERT(bytes.find("X-Tenant") == std::string::npos);
+        CPPUNIT_ASSERT(bytes.ends_with("\r\n\r\n12345"));
+    }
+
+    auto answer_rejected_isDecoded() -> void
+    {
+        AnswerHeader shed;
+        shed.result(503);
+        shed.set("X-Not-Executed", "1");
+        shed.set("X-Server-Load", "3,2,8");
+        const auto answer = decodeAnswer(shed);
+        CPPUNIT_ASSERT(answer.notRun);
+        CPPUNIT_ASSERT(!answer.sealed);
+        CPPUNIT_ASSERT_EQUAL(5U, *answer.loadRequests);
+        AnswerHeader other;
+        other.result(421);
+        CPPUNIT_ASSERT(decodeAnswer(other).notRun);
+        CPPUNIT_ASSERT(decodeAnswer(other).otherServer);
+    }
+
+    auto answer_sealed_keepsItsHeaders() -> void
+    {
+        AnswerHeader header;
+        header.result(200);
+        header.set("X-Server-Seal", "seal");
+        header.set("X-Attempt-Id", "try-1");
+        header.set("Connection", "close");
+        header.set("Content-Length", "7");
+        const auto answer = decodeAnswer(header);
+        CPPUNIT_ASSERT(answer.sealed);
+        CPPUNIT_ASSERT_EQUAL(std::string("try-1"), answer.id);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, *answer.length);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, answer.headers.size());
+    }
+
+    auto addresses_none_sendsToAnotherNode() -> void
+    {
+        gateway::CallerRequest call;
+        call.path = "/api/resolve";
+        CPPUNIT_ASSERT_EQUAL(503, answerAddresses(call, {}, seconds(1)).status);
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"addresses":["a:1"],"ttl_s":1.0})"),
+                             answerAddresses(call, {"a:1"}, seconds(1)).body);
+        call.path = "/other";
+        CPPUNIT_ASSERT_EQUAL(404, answerAddresses(call, {"a:1"}, seconds(1)).status);
+    }
+
+    auto gossip_roundTrip_keepsEverything() -> void
+    {
+        fleet::GossipMessage message;
+        message.sender.peerAddress = "10.0.0.1:83";
+        message.sender.incarnation = 5;
+        message.sender.phase = fleet::NodePhase::Draining;
+        message.others.push_back(message.sender);
+        message.others.back().age = milliseconds(40);
+        message.loads.push_back({7, 3, 1200, 0.5F, 2.5F});
+        message.spends.push_back({9, 100, 50, 7});
+        message.suspects.push_back({11, {1, 2}});
+        message.replyWanted = true;
+        const auto back = gateway::decodeGossip(gateway::encodeGossip(message));
+        CPPUNIT_ASSERT(back.has_value());
+        CPPUNIT_ASSERT(back->sender.phase == fleet::NodePhase::Draining);
+        CPPUNIT_ASSERT(back->others[0].age == milliseconds(40));
+        CPPUNIT_ASSERT_EQUAL(1200U, back->loads[0].promptWork);
+        CPPUNIT_ASSERT_EQUAL(2.5F, back->loads[0].outputMsPerToken);
+        CPPUNIT_ASSERT_EQUAL(50.0, back->spends[0].fleetRecent);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, back->suspects[0].servers.size());
+        CPPUNIT_ASSERT(back->replyWanted);
+    }
+
+    auto gossip_garbage_isNothing() -> void
+    {
+        CPPUNIT_ASSERT(!gateway::decodeGossip("").has_value());
+        CPPUNIT_ASSERT(!gateway::decodeGossip("garbage").has_value());
+        CPPUNIT_ASSERT(!gateway::decodeMirror("\x93\x01").has_value());
+    }
+};
+
+} // namespace
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SettingsFileFixture);
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreCodecFixture);
+CPPUNIT_TEST_SUITE_REGISTRATION(HeadersFixture);
