Time to the first byte as a line over the prompt work; servers that would answer late come last

The pace per token was learnt from short prompts, whose fixed time hid the difference between servers. Now base and slope are fitted. Ruled out: full fast servers (7 of 10 slots taken at the time).

--- a/include/banyanring/fleet/peer_state_type.h
+++ b/include/banyanring/fleet/peer_state_type.h
@@ -36,7 +36,8 @@
     std::uint32_t server = 0; ///< Number of the server.
     std::uint32_t requests = 0; ///< Requests sent and not ended.
     std::uint32_t promptWork = 0; ///< Work of reading the prompts without a first byte.
-    float promptMsPerToken = 0; ///< Time to the first event per prompt token; 0 unknown.
+    float firstByteMs = 0; ///< Time to the first byte without a prompt.
+    float promptMsPerToken = 0; ///< Further time per prompt work; 0 unknown.
     float outputMsPerToken = 0; ///< Time per output token; 0 unknown.
 };
 
--- a/include/banyanring/fleet/placement.h
+++ b/include/banyanring/fleet/placement.h
@@ -15,6 +15,8 @@
     double promptWork = 0; ///< Work of reading the prompt, in tokens of a short one.
     double outputTokens = 0; ///< Output tokens that its route usually takes.
     double longestOutput = 0; ///< Output tokens that it may take, as far as its caller tells.
+    double targetMs = 0; ///< Time left for the first byte to be on time; 0 if it is late already.
+    double eventTargetMs = 0; ///< Longest pause per output token that is on time; 0 for no limit.
     double timeLeftMs = 0; ///< Time until its final answer is due; 0 for no limit.
     std::uint32_t node = 0; ///< Hash of the placing node: nodes differ in what they prefer.
 };
--- a/include/banyanring/fleet/server_book.h
+++ b/include/banyanring/fleet/server_book.h
@@ -17,10 +17,46 @@
     double promptWork = 0; ///< Work of reading the prompts whose first byte has not come.
 };
 
-/** Moving averages of what a backend server showed. */
+/** A line through the recent samples of a time over the work that it took. */
+class FadingLine
+{
+public:
+    /**
+     * Begins with a line that others have seen.
+     * @param baseMs Time without work.
+     * @param msPerWork Time per unit of work.
+     */
+    auto adopt(double baseMs, double msPerWork) -> void;
+
+    /**
+     * Takes a sample; earlier ones fade.
+     * @param work The work.
+     * @param ms The time.
+     */
+    auto learn(double work, double ms) -> void;
+
+    /** @return Whether it stands on anything. */
+    auto known() const -> bool
+    {
+        return this->isKnown;
+    }
+    /** @return Milliseconds per unit of work. */
+    auto slope() const -> double;
+    /** @return Milliseconds without work. */
+    auto base() const -> double;
+
+private:
+    double work = 0; ///< Averages of work, time and their products.
+    double ms = 0;
+    double workWork = 0;
+    double workMs = 0;
+    bool isKnown = false;
+};
+
+/** What a backend server showed of late. */
 struct ServerPace
 {
-    double promptMsPerToken = 0; ///< Time to the first event per prompt work ahead; 0 unknown.
+    FadingLine firstByte; ///< Time to the first byte over the prompt work ahead.
     double outputMsPerToken = 0; ///< Time per output token after that; 0 unknown.
     double answerMs = 0; ///< Time to a whole plain answer; 0 unknown.
     double failures = 0; ///< Part of the recent answers that failed, 0 to 1.
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -21,10 +21,13 @@
 constexpr double InterferencePart = 0.25;
 constexpr double EjectedPenaltyMs = 100000; ///< Ranks a server set aside behind all others.
 constexpr double TooSlowPenaltyMs = 50000; ///< Ranks a server that would not end in time behind.
+constexpr double LatePenaltyMs = 5000; ///< Ranks a server that would answer late behind others.
+/** Expected times are averages: more than this part of a target is likely to pass it. */
+constexpr double TargetPart = 0.8;
+constexpr double PausePart = 0.6;
 constexpr double TimeLeftPart = 0.8; ///< Part of the time left that the expected time may take.
 /** Nodes rate a server by up to this part apart, so that they do not all choose the same one. */
 constexpr double PreferenceSpread = 0.15;
-constexpr double MinTokens = 256; ///< Shorter prompts say little about the reading speed.
 
 /** @return @p value, or @p fallback if it is not known. */
 auto known(double value, double fallback) -> double
@@ -56,15 +59,18 @@
         const auto slots = static_cast<double>(std::max(1U, server.entry.slots));
         return penalty + known(server.pace.answerMs, DefaultAnswerMs) * (1 + occupied / slots);
     }
-    const double perPrompt = known(server.pace.promptMsPerToken, DefaultPromptMsPerToken);
+    const auto &firstByte = server.pace.firstByte;
+    const double perPrompt = firstByte.known() ? firstByte.slope() : DefaultPromptMsPerToken;
     const double perOutput = known(server.pace.outputMsPerToken, DefaultOutputMsPerToken);
     const double firstMs = expectedFirstMs(server, shape);
     const double outputMs = shape.outputTokens * perOutput;
     const double longestMs = std::max(shape.longestOutput, shape.outputTokens) * perOutput;
     const bool tooSlow =
         shape.timeLeftMs > 0 && firstMs + longestMs > TimeLeftPart * shape.timeLeftMs;
-    return penalty + (tooSlow ? TooSlowPenaltyMs : 0) + firstMs + OutputPart * outputMs
-           + InterferencePart * shape.promptWork * perPrompt * occupied;
+    const bool late = (shape.targetMs > 0 && firstMs > TargetPart * shape.targetMs)
+                      || (shape.eventTargetMs > 0 && perOutput > PausePart * shape.eventTargetMs);
+    return penalty + (tooSlow ? TooSlowPenaltyMs : 0) + (late ? LatePenaltyMs : 0) + firstMs
+           + OutputPart * outputMs + InterferencePart * shape.promptWork * perPrompt * occupied;
 }
 
 } // namespace
@@ -80,7 +86,9 @@
         return known(server.pace.answerMs, DefaultAnswerMs);
     }
     const double ahead = server.own.promptWork + server.peers.promptWork + shape.promptWork;
-    return BaseMs + ahead * known(server.pace.promptMsPerToken, DefaultPromptMsPerToken);
+    const auto &firstByte = server.pace.firstByte;
+    return firstByte.known() ? firstByte.base() + ahead * firstByte.slope()
+                             : BaseMs + ahead * DefaultPromptMsPerToken;
 }
 
 auto choosePlacement(std::span<const ServerPtr> servers, const RequestShape &shape,
@@ -121,9 +129,7 @@
         learn(server.pace.answerMs, firstMs + restMs);
         return;
     }
-    if (workAhead >= MinTokens) {
-        learn(server.pace.promptMsPerToken, std::max(0.0, firstMs - BaseMs) / workAhead);
-    }
+    server.pace.firstByte.learn(workAhead, firstMs);
     if (outputTokens > 0 && restMs > 0) {
         learn(server.pace.outputMsPerToken, restMs / outputTokens);
     }
--- a/src/fleet/server_book.cpp
+++ b/src/fleet/server_book.cpp
@@ -14,6 +14,10 @@
 constexpr Duration LongestAvoidance = milliseconds(2000); ///< A restart takes about that long.
 /** A load report counts for as long as gossip of the same age would be due. */
 constexpr Duration ReportLifetime = milliseconds(150);
+constexpr double LineWeight = 0.08; ///< Weight of one sample in a line.
+/** Work of two imagined samples on a line that others have seen: a short and a long prompt. */
+constexpr double ShortWork = 500;
+constexpr double LongWork = 10000;
 constexpr double FailureWeight = 0.12; ///< Weight of one answer in the failure average.
 constexpr double SampleFade = 0.98; ///< Fading of the number of samples per answer.
 constexpr double EjectSamples = 6; ///< No verdict on fewer answers.
@@ -24,6 +28,40 @@
 
 } // namespace
 
+auto FadingLine::adopt(double baseMs, double msPerWork) -> void
+{
+    this->isKnown = true;
+    this->work = (ShortWork + LongWork) / 2;
+    this->ms = baseMs + msPerWork * this->work;
+    this->workWork = (ShortWork * ShortWork + LongWork * LongWork) / 2;
+    this->workMs = baseMs * this->work + msPerWork * this->workWork;
+}
+
+auto FadingLine::learn(double newWork, double newMs) -> void
+{
+    if (!this->isKnown) {
+        this->adopt(0, newMs / std::max(newWork, ShortWork));
+    }
+    this->work += LineWeight * (newWork - this->work);
+    this->ms += LineWeight * (newMs - this->ms);
+    this->workWork += LineWeight * (newWork * newWork - this->workWork);
+    this->workMs += LineWeight * (newWork * newMs - this->workMs);
+}
+
+auto FadingLine::slope() const -> double
+{
+    const double spread = this->workWork - this->work * this->work;
+    if (spread < 1) {
+        return 0;
+    }
+    return std::max(0.0, (this->workMs - this->work * this->ms) / spread);
+}
+
+auto FadingLine::base() const -> double
+{
+    return std::max(0.0, this->ms - this->slope() * this->work);
+}
+
 auto Server::occupied(Instant now) const -> std::uint32_t
 {
     auto others = this->peers.requests;
@@ -147,15 +185,15 @@
 {
     for (const auto &[id, server] : this->servers) {
         auto &pace = server->pace;
-        if (pace.promptMsPerToken > 0 && pace.outputMsPerToken > 0) {
+        if (pace.firstByte.known() && pace.outputMsPerToken > 0) {
             continue;
         }
         for (const auto &load : loads) {
             if (load.server != server->number) {
                 continue;
             }
-            if (pace.promptMsPerToken == 0) {
-                pace.promptMsPerToken = load.promptMsPerToken;
+            if (!pace.firstByte.known() && load.promptMsPerToken > 0) {
+                pace.firstByte.adopt(load.firstByteMs, load.promptMsPerToken);
             }
             if (pace.outputMsPerToken == 0) {
                 pace.outputMsPerToken = load.outputMsPerToken;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -47,7 +47,8 @@
              {"cold_ms", std::max<std::int64_t>(0, toMs(server->coldUntil - now))},
              {"avoid_ms", std::max<std::int64_t>(0, toMs(server->avoidUntil - now))},
              {"ejected_ms", std::max<std::int64_t>(0, toMs(server->ejectedUntil - now))},
-             {"prompt_ms_per_token", server->pace.promptMsPerToken},
+             {"first_byte_ms", server->pace.firstByte.base()},
+             {"prompt_ms_per_token", server->pace.firstByte.slope()},
              {"output_ms_per_token", server->pace.outputMsPerToken},
              {"failures", server->pace.failures}});
     }
--- a/src/gateway/gossip_codec.cpp
+++ b/src/gateway/gossip_codec.cpp
@@ -12,7 +12,7 @@
 
 using Statement = std::tuple<std::string, std::string, std::string, std::uint64_t, std::uint64_t,
                              std::uint8_t, std::uint64_t, std::uint64_t, bool, std::int64_t>;
-using Load = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t, float, float>;
+using Load = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t, float, float, float>;
 using Spend = std::tuple<std::uint32_t, double, double, double>;
 using Suspect = std::tuple<std::uint64_t, std::vector<std::uint32_t>>;
 using Message = std::tuple<int, Statement, std::vector<Statement>, std::vector<Load>,
@@ -76,7 +76,8 @@
     }
     for (const auto &load : message.loads) {
         std::get<3>(sent).emplace_back(load.server, load.requests, load.promptWork,
-                                       load.promptMsPerToken, load.outputMsPerToken);
+                                       load.firstByteMs, load.promptMsPerToken,
+                                       load.outputMsPerToken);
     }
     for (const auto &spend : message.spends) {
         std::get<4>(sent).emplace_back(spend.organisation, spend.units, spend.fleetRecent,
@@ -100,8 +101,8 @@
     for (const auto &other : std::get<2>(*sent)) {
         message.others.push_back(unpack(other));
     }
-    for (const auto &[server, requests, tokens, promptPace, outputPace] : std::get<3>(*sent)) {
-        message.loads.push_back({server, requests, tokens, promptPace, outputPace});
+    for (const auto &[server, requests, work, base, promptPace, outputPace] : std::get<3>(*sent)) {
+        message.loads.push_back({server, requests, work, base, promptPace, outputPace});
     }
     for (const auto &[organisation, units, recent, asked] : std::get<4>(*sent)) {
         message.spends.push_back({organisation, units, recent, asked});
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -124,7 +124,8 @@
             message.loads.push_back(
                 {server->number, server->own.requests,
                  static_cast<std::uint32_t>(std::max(0.0, server->own.promptWork)),
-                 static_cast<float>(pace.promptMsPerToken),
+                 pace.firstByte.known() ? static_cast<float>(pace.firstByte.base()) : 0,
+                 pace.firstByte.known() ? static_cast<float>(pace.firstByte.slope()) : 0,
                  static_cast<float>(pace.outputMsPerToken)});
         }
     }
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -37,7 +37,9 @@
     const auto now = this->scheduler.clock();
     const auto *rule = this->forServer();
     const auto fleetSize = books.members.fleetSize(now);
+    const auto dueAt = this->request.arrivedAt + this->route->target;
     this->shape.timeLeftMs = static_cast<double>((this->finalAt - now).count()) / 1000;
+    this->shape.targetMs = std::max(0.0, static_cast<double>((dueAt - now).count()) / 1000);
     const auto usable = [&](const fleet::Server &candidate) {
         return this->scheduler.usable(candidate, now) && !this->tried.contains(candidate.entry.id);
     };
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -140,12 +140,16 @@
     std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
     this->service = this->route->targets.at(pick(this->scheduler.random)).service;
     const auto *rule = this->forServer();
-    this->shape = {rule != nullptr && rule->engine,
-                   fleet::promptWork(this->request.promptTokens),
-                   this->scheduler.usualOutput(this->route->prefix, this->request.outputTokens),
-                   this->request.expectedOutput.value_or(0),
-                   0,
-                   this->scheduler.nodeHash};
+    this->shape.engine = rule != nullptr && rule->engine;
+    this->shape.promptWork = fleet::promptWork(this->request.promptTokens);
+    this->shape.outputTokens =
+        this->scheduler.usualOutput(this->route->prefix, this->request.outputTokens);
+    this->shape.longestOutput = this->request.expectedOutput.value_or(0);
+    if (this->shape.engine) {
+        this->shape.eventTargetMs =
+            static_cast<double>(this->route->gapTarget.count()) / 1000 / rule->tokensPerEvent;
+    }
+    this->shape.node = this->scheduler.nodeHash;
     this->enqueue(std::chrono::duration_cast<Duration>(this->patience() * QueuePatience));
 }
 
--- a/tests/fleet/platform_tests.cpp
+++ b/tests/fleet/platform_tests.cpp
@@ -317,7 +317,7 @@
         message.sender.phase = fleet::NodePhase::Draining;
         message.others.push_back(message.sender);
         message.others.back().age = milliseconds(40);
-        message.loads.push_back({7, 3, 1200, 0.5F, 2.5F});
+        message.loads.push_back({7, 3, 1200, 9.0F, 0.5F, 2.5F});
         message.spends.push_back({9, 100, 50, 7});
         message.suspects.push_back({11, {1, 2}});
         message.replyWanted = true;
--- a/tests/fleet/queue_tests.cpp
+++ b/tests/fleet/queue_tests.cpp
@@ -68,6 +68,8 @@
     CPPUNIT_TEST(choose_coldWithoutShare_isPassedOver);
     CPPUNIT_TEST(choose_setAside_isLastResort);
     CPPUNIT_TEST(choose_wouldNotEndInTime_takesTheOther);
+    CPPUNIT_TEST(choose_wouldAnswerLate_takesTheOther);
+    CPPUNIT_TEST(line_samples_giveBaseAndSlope);
     CPPUNIT_TEST(choose_noneUsable_saysSo);
     CPPUNIT_TEST(choose_longPromptAhead_takesTheOther);
     CPPUNIT_TEST_SUITE_END();
@@ -80,7 +82,7 @@
             server->entry.id = std::to_string(number);
             server->entry.slots = 2;
             server->number = 1;
-            server->pace.promptMsPerToken = 0.02;
+            server->pace.firstByte.adopt(5, 0.02);
             server->pace.outputMsPerToken = 5;
             this->servers.push_back(server);
         }
@@ -89,7 +91,7 @@
     auto choose() -> Choice
     {
         return choosePlacement(
-            this->servers, {true, 1000, 200, 0, 5000, 3},
+            this->servers, {true, 1000, 200, 0, this->targetMs, 0, 5000, 3},
             [this](const Server &server) { return &server != this->unusable; },
             [](const Server &) { return false; }, this->now);
     }
@@ -143,6 +145,26 @@
         CPPUNIT_ASSERT(this->choose().server == this->servers[1]);
     }
 
+    auto choose_wouldAnswerLate_takesTheOther() -> void
+    {
+        this->servers[0]->pace.firstByte.adopt(5, 0.3);
+        this->servers[1]->pace.outputMsPerToken = 15;
+        CPPUNIT_ASSERT(this->choose().server == this->servers[0]);
+        this->targetMs = 300;
+        CPPUNIT_ASSERT(this->choose().server == this->servers[1]);
+    }
+
+    auto line_samples_giveBaseAndSlope() -> void
+    {
+        FadingLine line;
+        for (int sample = 0; sample < 400; ++sample) {
+            const double work = sample % 9 == 0 ? 30000 : 400;
+            line.learn(work, 20 + 0.01 * work);
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(20, line.base(), 1);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.01, line.slope(), 0.0005);
+    }
+
     auto choose_noneUsable_saysSo() -> void
     {
         this->servers.pop_back();
@@ -159,6 +181,7 @@
 private:
     std::vector<ServerPtr> servers;
     const Server *unusable = nullptr;
+    double targetMs = 0;
     Instant now = seconds(100);
 };
 
