--- a/include/banyanring/fleet/server_book.h
+++ b/include/banyanring/fleet/server_book.h
@@ -78,6 +78,7 @@
     ServerLoad peers; ///< Work from other nodes, by their gossip.
     std::uint32_t reportedOthers = 0; ///< Requests beside this node's that it reported.
     Instant reportedAt{}; ///< When it reported that.
+    Instant heardAt{}; ///< When this node last got data from it.
     ServerPace pace; ///< What it showed.
 
     /** @return Requests that it is believed to hold. */
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -17,6 +17,7 @@
 constexpr Duration LeastStall = milliseconds(800);
 constexpr double TargetStall = 2.5; ///< Times the latency target, before the first byte.
 constexpr double GapStall = 4; ///< Times the longest pause, inside a stream.
+constexpr int BusyStall = 2; ///< Times longer, while the server answers other requests.
 constexpr double AverageWeight = 0.05; ///< Weight of one request in the usual time of all.
 constexpr std::size_t MostUnsent = 262144; ///< A slow caller stops the reading beyond it.
 constexpr int FirstFailureStatus = 500; ///< Statuses from here are failures of the server.
@@ -115,6 +116,7 @@
     this->answer = head;
     this->answerAt = now;
     this->lastDataAt = now;
+    this->server->heardAt = now;
     auto &target = *this->server;
     if (this->promptCounted) {
         target.own.promptWork -= this->shape.promptWork;
@@ -132,6 +134,7 @@
 auto RequestRun::onAnswerData(std::string_view data) -> void
 {
     this->lastDataAt = this->scheduler.clock();
+    this->server->heardAt = this->lastDataAt;
     const bool success = this->answer.status / StatusClass == SuccessClass;
     if (this->route->streaming && success && this->answer.sealed) {
         this->forwardEvents(data);
