--- /dev/null
+++ b/tests/process/platform_standin.py
@@ -0,0 +1,266 @@
+"""Stand-ins for the users' platform on loopback: the store, servers and entry nodes."""
+
+import base64
+import http.client
+import http.server
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import tempfile
+import threading
+import time
+import urllib.parse
+
+BUILD = os.environ["BANYANRING_BUILD"]
+DAEMON = os.path.join(BUILD, "platform", "banyanringd")
+HOST = "shop.example"
+HEARTBEAT_S = 0.3  # Interval of the servers' entries.
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class QuietHandler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_):
+        pass
+
+    def give(self, status, body=b"", headers=()):
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+def serve(handler, port, **attributes):
+    """Starts an HTTP server in a thread of its own."""
+    server = http.server.ThreadingHTTPServer(
+        ("127.0.0.1", port), type("Handler", (handler,), attributes))
+    server.daemon_threads = True
+    threading.Thread(target=server.serve_forever, args=(0.05,), daemon=True).start()
+    return server
+
+
+class Store:
+    """Items with revisions, ranges and watches."""
+
+    def __init__(self):
+        self.items, self.events, self.revision = {}, [], 0
+        self.changed, self.away = threading.Condition(), False
+        self.port = free_port()
+        self.server = serve(StoreHandler, self.port, store=self)
+
+    def put(self, key, value):
+        with self.changed:
+            self.revision += 1
+            encoded = base64.b64encode(json.dumps(value).encode()).decode()
+            self.items[key] = {"key": key, "value": encoded, "mod_revision": self.revision}
+            self.events.append(self.items[key])
+            self.changed.notify_all()
+
+    def remove(self, key):
+        with self.changed:
+            self.revision += 1
+            self.items.pop(key, None)
+            self.events.append({"key": key, "mod_revision": self.revision, "removed": True})
+            self.changed.notify_all()
+
+
+class StoreHandler(QuietHandler):
+    store = None
+
+    def do_GET(self):
+        store = self.store
+        if store.away:
+            self.give(503)
+            return
+        parts = urllib.parse.urlsplit(self.path)
+        query = dict(urllib.parse.parse_qsl(parts.query, keep_blank_values=True))
+        prefix = query.get("prefix", "")
+        if parts.path == "/api/kv-range":
+            with store.changed:
+                entries = [store.items[k] for k in sorted(store.items) if k.startswith(prefix)]
+                body = {"entries": entries, "more_pages": False, "as_of": store.revision}
+        else:
+            after, until = int(query["after"]), time.monotonic() + int(query["wait_ms"]) / 1000
+            with store.changed:
+                while store.revision <= after and time.monotonic() < until:
+                    store.changed.wait(0.05)
+                events = [e for e in store.events if e["mod_revision"] > after]
+                body = {"events": events, "as_of": store.revision}
+        self.give(200, json.dumps(body).encode())
+
+
+class Server:
+    """A backend server that registers itself and records what it ran."""
+
+    def __init__(self, store, name, service, zone):
+        self.store, self.name, self.service, self.zone = store, name, service, zone
+        self.port, self.runs, self.stopped, self.state = free_port(), [], False, "ready"
+        self.server = serve(ServerHandler, self.port, backend=self)
+        threading.Thread(target=self.beat, daemon=True).start()
+
+    def beat(self):
+        sequence = 0
+        while not self.stopped:
+            sequence += 1
+            self.store.put(f"servers/{self.name}", {
+                "service": self.service, "address": f"127.0.0.1:{self.port}", "zone": self.zone,
+                "slots": 8, "state": self.state, "cold_left_ms": 0, "seq": sequence})
+            time.sleep(HEARTBEAT_S)
+
+
+class ServerHandler(QuietHandler):
+    backend = None
+
+    def do_GET(self):
+        self.run()
+
+    def do_POST(self):
+        self.run()
+
+    def run(self):
+        body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        if self.headers["X-Expect-Instance"] != self.backend.name:
+            self.give(421)
+            return
+        self.backend.runs.append({
+            "id": self.headers["X-Attempt-Id"], "path": self.path, "body": body.decode(),
+            "tenant": self.headers["X-Tenant"], "key": self.headers["Authorization"],
+            "left": int(self.headers["X-Deadline-Remaining"])})
+        echo = [("X-Attempt-Id", self.headers["X-Attempt-Id"]), ("X-Server-Seal", "seal")]
+        if not self.path.startswith("/draft/"):
+            time.sleep(0.03)
+            self.give(200, body + b" done", echo)
+            return
+        first = int(self.headers.get("Last-Event-Id", 0)) + 1
+        self.send_response(200)
+        for name, value in echo + [("Content-Type", "text/event-stream"),
+                                   ("Transfer-Encoding", "chunked")]:
+            self.send_header(name, value)
+        self.end_headers()
+        for number in range(first, 11):
+            event = f"id: {number}\ndata: {number}\n\n".encode()
+            self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            time.sleep(0.03)
+        self.wfile.write(b"0\r\n\r\n")
+
+
+class Node:
+    """An entry node: the real daemon with a settings file of its own."""
+
+    def __init__(self, fleet, number):
+        self.fleet, self.number, self.process = fleet, number, None
+        self.ports = {name: free_port() for name in ("front", "ready", "control", "directory")}
+        self.range_start = free_port()
+        self.settings = fleet.folder / f"node-{number}.conf"
+        self.log = fleet.folder / f"node-{number}.log"
+
+    def start(self):
+        seeds = ",".join(f"127.0.0.1:{n.ports['control']}" for n in self.fleet.nodes[:3])
+        lines = [f"node_name=node-{self.number}", "ip=127.0.0.1", f"zone=z{self.number % 2}",
+                 "region=r", "zones.z0=r", "zones.z1=r", f"seeds={seeds}",
+                 f"port_range={self.range_start},{self.range_start + 9}", "bounds.grace_s=8",
+                 f"platform.address=127.0.0.1:{self.fleet.store.port}"]
+        lines += [f"listen.{name}=127.0.0.1:{port}" for name, port in self.ports.items()]
+        self.settings.write_text("\n".join(lines) + "\n")
+        self.process = subprocess.Popen(
+            [DAEMON], stdout=open(self.log, "ab"), stderr=subprocess.STDOUT,
+            env={"BANYANRING_SETTINGS": str(self.settings)})
+
+    def stop(self, how=signal.SIGTERM):
+        self.process.send_signal(how)
+        return self.process.wait(timeout=15)
+
+    def ready(self):
+        try:
+            return get(self.ports["ready"], "/api/readyz")[0] == 200
+        except OSError:
+            return False
+
+    def addresses(self):
+        status, body = get(self.ports["directory"], f"/api/resolve?name={HOST}&region=r&zone=z0")
+        return json.loads(body)["addresses"] if status == 200 else []
+
+    def metrics_port(self):
+        return self.range_start + 1
+
+
+def get(port, path, headers=None, timeout=5):
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    try:
+        connection.request("GET", path, headers=headers or {})
+        reply = connection.getresponse()
+        return reply.status, reply.read()
+    finally:
+        connection.close()
+
+
+class Fleet:
+    """A store, servers and nodes; all end with it."""
+
+    def __init__(self, nodes=3, start=True):
+        self.temporary = tempfile.TemporaryDirectory()
+        self.folder = pathlib.Path(self.temporary.name)
+        self.store, self.version = Store(), 0
+        self.keys = ["key-1"]
+        self.publish()
+        self.servers = [Server(self.store, f"i-{service}-{zone}", service, zone)
+                        for service in ("llm", "desk") for zone in ("z0", "z1")]
+        self.nodes = []
+        self.nodes += [Node(self, number) for number in range(nodes)]
+        if start:
+            for node in self.nodes:
+                node.start()
+
+    def publish(self, **more_routes):
+        self.version += 3
+        kinds = {"order": ("non_idempotent", "desk"), "lookup": ("idempotent", "desk"),
+                 "draft": ("streaming", "llm"), **more_routes}
+        routes = [{"name": f"r-{name}", "hostname": HOST, "prefix": f"/{name}/",
+                   "route_type": kind, "timeout_ms": 5000, "target_latency_ms": 500,
+                   "priority": 0, "service": service, "max_attempts": 2,
+                   "resumable": kind == "streaming", "gap_target_ms": 300}
+                  for name, (kind, service) in kinds.items()]
+        self.store.put("op/config", {
+            "version": self.version, "routes": routes,
+            "services": [{"name": "desk"}, {"name": "llm", "engine": {"slots": 8, "stride": 1}}],
+            "limits": {}, "tenants": [{"name": "red", "api_keys": self.keys}]})
+
+    def wait_until(self, what, condition, seconds=10):
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            if condition():
+                return
+            time.sleep(0.05)
+        raise AssertionError(f"not within {seconds} s: {what}")
+
+    def wait_ready(self, seconds=10):
+        self.wait_until("all nodes ready and known to each other", lambda: all(
+            n.ready() and len(n.addresses()) == len(self.nodes) for n in self.nodes), seconds)
+
+    def runs(self):
+        return [run for server in self.servers for run in server.runs]
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, *_):
+        for node in self.nodes:
+            if node.process and node.process.poll() is None:
+                node.process.kill()
+                node.process.wait()
+            if kind is not None and node.log.exists():
+                print(f"--- {node.log.name}\n" + node.log.read_text()[-4000:])
+        for server in self.servers:
+            server.stopped = True
+        self.temporary.cleanup()
