--- a/include/banyanring/gateway/request_run.h
+++ b/include/banyanring/gateway/request_run.h
@@ -75,14 +75,6 @@
     auto onAnswerFailed(ExchangeFailure failure) -> void override;
 
 private:
-    /** A step of the request, for its log line. */
-    struct Step
-    {
-        Instant at{};
-        std::string_view what;
-        std::string detail;
-    };
-
     auto authorise() -> bool;
     auto chargeQuota() -> bool;
     auto enqueue(Duration patience) -> void;
@@ -99,7 +91,7 @@
     auto failUnknown(int status, Cause cause) -> void;
     auto finish(Cause cause, int status) -> void;
     auto step(std::string_view what, std::string detail = {}) -> void;
-    auto writeLog(Cause cause, int status) const -> void;
+    auto writeLog(Cause cause, int status) -> void;
     auto stalled(Instant now) const -> bool;
     auto patience() const -> Duration;
     auto comeBackAfter(Duration wait) const -> Duration;
@@ -142,7 +134,7 @@
     std::set<std::string> tried; ///< Servers that are not tried again.
     bool waiting = false;
     bool isDone = false;
-    std::vector<Step> steps;
+    std::vector<RequestStep> steps;
 };
 
 /**
--- a/include/banyanring/gateway/scheduler.h
+++ b/include/banyanring/gateway/scheduler.h
@@ -11,6 +11,7 @@
 #include "banyanring/gateway/request_metrics.h"
 #include "banyanring/gateway/scheduler_ports.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <random>
@@ -39,6 +40,21 @@
     fleet::CrashSuspects suspects; ///< Requests that crash servers.
 };
 
+/** A step of a request, for logs and explanations. */
+struct RequestStep
+{
+    Duration after{}; ///< Since the request's arrival.
+    std::string_view what; ///< A fixed word.
+    std::string detail; ///< What decided.
+};
+
+/** A request that has ended. */
+struct RequestRecord
+{
+    std::string id; ///< Id that the caller gave.
+    std::vector<RequestStep> steps; ///< In order.
+};
+
 /** Runs the requests of one node. Has no socket and no clock: both come through ports. */
 class Scheduler
 {
@@ -90,6 +106,13 @@
         this->refusing = true;
     }
 
+    /**
+     * Finds requests that have ended lately.
+     * @param id Id that the caller gave.
+     * @return Their records, oldest first.
+     */
+    auto explain(std::string_view id) const -> std::vector<const RequestRecord *>;
+
     RequestMetrics metrics; ///< What became of the requests.
 
 private:
@@ -107,6 +130,7 @@
     {
         return this->queues[service];
     }
+    auto remember(RequestRecord record) -> void;
     auto settle() -> void;
     auto noteOutput(const std::string &prefix, double tokens) -> void;
     auto usualOutput(const std::string &prefix, double most) const -> double;
@@ -127,6 +151,7 @@
     std::unordered_map<std::string, ServiceQueue> queues;
     std::unordered_map<std::string, double> outputs; ///< Usual output tokens by route prefix.
     std::set<std::string> dirty; ///< Services whose queue may move.
+    std::deque<RequestRecord> records; ///< Ended requests, oldest first.
     std::vector<std::uint64_t> finished; ///< Runs to be destroyed, outside of their own calls.
     std::vector<std::unique_ptr<Exchange>> retired; ///< Likewise.
 };
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 packages=(g++ cmake ninja-build libcpprest-dev libnng-dev libboost-dev libcxxopts-dev libspdlog-dev
-    libcppunit-dev nlohmann-json3-dev libmsgpack-cxx-dev libssl-dev python3)
+    libcppunit-dev nlohmann-json3-dev libmsgpack-cxx-dev libssl-dev libtomlplusplus-dev python3)
 if ! dpkg -s "${packages[@]}" >/dev/null 2>&1; then
     sudo=$([ "$(id -u)" = 0 ] || echo sudo)
     $sudo apt-get update
--- a/src/fleet/server_book.cpp
+++ b/src/fleet/server_book.cpp
@@ -204,9 +204,9 @@
 
 auto ServerBook::ofService(std::string_view service) const -> const std::vector<ServerPtr> &
 {
-    static const std::vector<ServerPtr> none;
+    static const std::vector<ServerPtr> None;
     const auto found = this->byService.find(service);
-    return found == this->byService.end() ? none : found->second;
+    return found == this->byService.end() ? None : found->second;
 }
 
 auto ServerBook::find(std::string_view id) const -> ServerPtr
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -134,7 +134,12 @@
     if (request.path == "/debug/state") {
         return {Ok, "OK", {{"Content-Type", "application/json"}}, this->stateText()};
     }
-    return {404, "Not Found", {}, "/metrics, /debug/state\n"};
+    if (request.path == "/debug/explain") {
+        const auto at = request.target.find("id=");
+        const auto id = at == std::string::npos ? "" : request.target.substr(at + 3);
+        return {Ok, "OK", {{"Content-Type", "application/json"}}, this->explainText(id)};
+    }
+    return {404, "Not Found", {}, "/metrics, /debug/state, /debug/explain?id=REQUEST\n"};
 }
 
 auto Gateway::statement() const -> fleet::NodeStatement
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,6 +46,7 @@
     auto continueStop(Instant now) -> void;
     auto stateText() const -> std::string;
     auto metricsText() const -> std::string;
+    auto explainText(std::string_view id) const -> std::string;
 
     fleet::Environment environment;
     std::function<fleet::Environment()> reload;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -68,6 +68,20 @@
     return state.dump(2) + "\n";
 }
 
+auto Gateway::explainText(std::string_view id) const -> std::string
+{
+    json steps = json::array();
+    for (const auto *record : this->scheduler.explain(id)) {
+        for (const auto &step : record->steps) {
+            steps.push_back(
+                {{"after_ms", std::chrono::duration<double, std::milli>(step.after).count()},
+                 {"step", step.what},
+                 {"detail", step.detail}});
+        }
+    }
+    return steps.dump() + "\n";
+}
+
 auto Gateway::metricsText() const -> std::string
 {
     const auto now = bootNow();
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -334,6 +334,7 @@
     const std::uint32_t tier = this->route != nullptr ? this->tier() : 0;
     this->scheduler.metrics.noteEnd({this->service, tier, std::string(causeName(cause))},
                                     first - this->request.arrivedAt, now - this->request.arrivedAt);
+    this->step(causeName(cause), status > 0 ? "status " + std::to_string(status) : "");
     this->writeLog(cause, status);
     this->caller.reset();
     this->scheduler.finished.push_back(this->number);
@@ -341,15 +342,16 @@
 
 auto RequestRun::step(std::string_view what, std::string detail) -> void
 {
-    this->steps.push_back({this->scheduler.clock(), what, std::move(detail)});
+    this->steps.push_back(
+        {this->scheduler.clock() - this->request.arrivedAt, what, std::move(detail)});
 }
 
-auto RequestRun::writeLog(Cause cause, int status) const -> void
+auto RequestRun::writeLog(Cause cause, int status) -> void
 {
     const auto now = this->scheduler.clock();
     std::vector<std::string> story;
     for (const auto &one : this->steps) {
-        const auto at = std::chrono::duration_cast<milliseconds>(one.at - this->request.arrivedAt);
+        const auto at = std::chrono::duration_cast<milliseconds>(one.after);
         std::string text = "+" + std::to_string(at.count()) + " ms " + std::string(one.what);
         if (!one.detail.empty()) {
             text += ": " + one.detail.substr(0, LogDetailLimit);
@@ -376,6 +378,7 @@
               {"expected_output_tokens", this->shape.outputTokens},
               {"steps", std::move(story)}},
              calm ? LogClass::Calm : LogClass::Notable);
+    this->scheduler.remember({this->request.id, std::move(this->steps)});
 }
 
 } // namespace banyanring::gateway
--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -10,6 +10,7 @@
 
 /** Requests behind one that no server can take are rarely better off; bounds the work. */
 constexpr int FailuresPerRound = 3;
+constexpr std::size_t RememberedRequests = 1000; ///< Some tens of seconds of a busy node.
 constexpr double OutputWeight = 0.1; ///< Weight of one answer in a route's usual output.
 /** Part of the declared most that an answer takes, until the route has shown better. */
 constexpr double UsualOutputPart = 0.1;
@@ -91,6 +92,25 @@
     this->settling = false;
 }
 
+auto Scheduler::remember(RequestRecord record) -> void
+{
+    this->records.push_back(std::move(record));
+    if (this->records.size() > RememberedRequests) {
+        this->records.pop_front();
+    }
+}
+
+auto Scheduler::explain(std::string_view id) const -> std::vector<const RequestRecord *>
+{
+    std::vector<const RequestRecord *> found;
+    for (const auto &record : this->records) {
+        if (record.id == id) {
+            found.push_back(&record);
+        }
+    }
+    return found;
+}
+
 auto Scheduler::noteOutput(const std::string &prefix, double tokens) -> void
 {
     auto &usual = this->outputs[prefix];
--- a/src/tool/commands.cpp
+++ b/src/tool/commands.cpp
@@ -2,7 +2,6 @@
 #include "commands.h"
 
 #include "banyanring/adapters/config_codec.h"
-#include "banyanring/adapters/settings_type.h"
 
 #include <algorithm>
 #include <array>
@@ -19,14 +18,19 @@
 using nlohmann::ordered_json;
 
 const std::array<Command, 7> Table{{
-    {"check", "check SETTINGS-FILE...", "Check settings files of daemons.", runCheck},
+    {"check", "check FILE...",
+     "Check daemons' settings, the platform's settings (.conf), deploy files (.toml) and published "
+     "configurations.",
+     runCheck},
     {"collect", "collect DIR...",
      "Collect operators' files (*.json below the folders) into the published shards.", runCollect},
     {"status", "status NODE...", "Print a table of nodes, each given by its operator address.",
      runStatus},
     {"dump", "dump NODE", "Print the whole state of the node with that operator address.", runDump},
-    {"explain", "explain REQUEST-ID NODE...",
-     "Print the decisions on a request, from the nodes that remember any.", runExplain},
+    {"explain", "explain REQUEST-ID NODE... | LOGS...",
+     "Print the decisions on a request and its cause, from nodes or from collected logs (files, "
+     "folders, - for standard input).",
+     runExplain},
     {"key", "key digest KEY", "Print a key's digest, as the configuration holds it.", runKey},
     {"send", "send ENTRY PATH KEY BODY [--ticket]",
      "Send a request as a proper caller: ask ENTRY for the address, take a ticket with --ticket, "
@@ -69,21 +73,22 @@
 auto runCheck(const Arguments &arguments) -> int
 {
     if (arguments.words.empty()) {
-        throw UsageError("a settings file is needed");
+        throw UsageError("a file is needed");
     }
     int result = ExitDone;
     auto report = ordered_json::array();
     for (const auto &file : arguments.words) {
-        std::string fault;
-        try {
-            readSettings(file);
-        } catch (const SettingsError &error) {
-            fault = error.what();
-            result = ExitNot;
+        const auto faults = checkFile(file);
+        result = faults.empty() ? result : ExitNot;
+        report.push_back({{"file", file}, {"usable", faults.empty()}, {"faults", faults}});
+        if (arguments.json) {
+            continue;
         }
-        report.push_back({{"file", file}, {"usable", fault.empty()}, {"fault", fault}});
-        if (!arguments.json) {
-            std::cout << (fault.empty() ? file + ": usable" : fault) << "\n";
+        if (faults.empty()) {
+            std::cout << file << ": usable\n";
+        }
+        for (const auto &fault : faults) {
+            std::cout << fault << "\n";
         }
     }
     if (arguments.json) {
--- a/src/tool/commands.h
+++ b/src/tool/commands.h
@@ -50,6 +50,14 @@
  */
 auto httpGet(const std::string &address, const std::string &path) -> std::string;
 
+/**
+ * Checks a file of any kind that this project reads: a deploy file (.toml), the platform's settings
+ * (.conf), a published configuration (JSON with routes) or a daemon's settings.
+ * @param file Its path.
+ * @return Faults, each with file and line and what is allowed; empty if it is usable.
+ */
+auto checkFile(const std::string &file) -> std::vector<std::string>;
+
 /** @return Exit status of "check FILE..." */
 auto runCheck(const Arguments &arguments) -> int;
 /** @return Exit status of "collect DIR..." */
@@ -60,6 +68,14 @@
 auto runStatus(const Arguments &arguments) -> int;
 /** @return Exit status of "dump NODE". */
 auto runDump(const Arguments &arguments) -> int;
+/**
+ * Tells whether a word names logs rather than a node.
+ * @param word "-" for standard input, a file or a folder of files.
+ * @return Whether it does.
+ */
+auto namesLogs(const std::string &word) -> bool;
+/** @return Exit status of "explain REQUEST-ID LOGS..." */
+auto explainFromLogs(const Arguments &arguments) -> int;
 /** @return Exit status of "explain REQUEST-ID NODE..." */
 auto runExplain(const Arguments &arguments) -> int;
 /** @return Exit status of "send ENTRY PATH KEY BODY". */
--- a/src/tool/commands_fleet.cpp
+++ b/src/tool/commands_fleet.cpp
@@ -1,6 +1,7 @@
 /** @file commands_fleet.cpp Commands that ask nodes. */
 #include "commands.h"
 
+#include <array>
 #include <cpprest/http_client.h>
 #include <cpprest/interopstream.h>
 #include <cpprest/rawptrstream.h>
@@ -60,6 +61,24 @@
               << "\n";
 }
 
+/** Prints one line on a node that runs on the platform. */
+auto printPlatformRow(const std::string &address, const ordered_json &state) -> void
+{
+    static constexpr std::array<std::string_view, 3> Phases{"starting", "ready", "draining"};
+    std::size_t live = 0;
+    for (const auto &member : state["members"]) {
+        live += member["alive"].get<bool>() ? 1 : 0;
+    }
+    std::cout << std::left << std::setw(22) << address << " " << state["node"].get<std::string>()
+              << "  " << Phases.at(state["phase"].get<std::size_t>()) << "  config "
+              << state["config"].get<std::uint64_t>() << "  store "
+              << (state["store_reached"].get<bool>() ? "reached" : "lost") << " at "
+              << state["store_revision"].get<std::uint64_t>() << "  members " << live << "/"
+              << state["members"].size() << "  servers " << state["servers"].size() << "  open "
+              << state["open_requests"].get<int>() << "  waiting " << state["waiting"].get<int>()
+              << "\n";
+}
+
 /** Prints the answer, as it arrives unless JSON is wanted, and gives the exit status. */
 auto printAnswer(const Arguments &arguments, const http_response &response) -> int
 {
@@ -125,7 +144,7 @@
             const auto state = ordered_json::parse(httpGet(node, "/debug/state"));
             all[node] = state;
             if (!arguments.json) {
-                printRow(node, state);
+                state.contains("phase") ? printPlatformRow(node, state) : printRow(node, state);
             }
         } catch (const std::exception &error) {
             result = ExitNoAnswer;
@@ -154,7 +173,10 @@
 auto runExplain(const Arguments &arguments) -> int
 {
     if (arguments.words.size() < 2) {
-        throw UsageError("a request id and operator addresses are needed");
+        throw UsageError("a request id and operator addresses or log files are needed");
+    }
+    if (namesLogs(arguments.words[1])) {
+        return explainFromLogs(arguments);
     }
     const auto &id = arguments.words.front();
     auto all = ordered_json::object();
