--- a/include/banyanring/fleet/limit_shares.h
+++ b/include/banyanring/fleet/limit_shares.h
@@ -143,18 +143,11 @@
     struct Account
     {
         WindowCounter own; ///< By this node.
-        WindowCounter peers; ///< By the others, since they were first heard of.
         WindowCounter before; ///< By anyone before this process started: assumed, or told.
         bool beforeTold = false; ///< A peer has told it.
         WindowCounter asked; ///< Asked for at this node of late, admitted or not.
         double ownTotal = 0; ///< By this node since its start.
         double limit = 0; ///< Limit of a window, without tolerance.
-
-        /** @return What all nodes have admitted in the window, as far as known. */
-        auto sum(Instant now) -> double
-        {
-            return this->own.sum(now) + this->peers.sum(now) + this->before.sum(now);
-        }
     };
 
     auto account(std::uint32_t organisation) -> Account &;
@@ -165,14 +158,24 @@
     FleetBounds bounds;
     Instant startedAt;
     std::unordered_map<std::uint32_t, Account> accounts;
-    /** What a peer said last of one organisation. */
+    /** What a peer said of one organisation. */
     struct PeerSpend
     {
+        WindowCounter window; ///< Admitted there, since it was first heard of.
         double total = 0; ///< Units since its start.
         double askedPerSecond = 0; ///< Units asked for there.
-        Instant at{}; ///< When it was heard.
+        Instant at{}; ///< When it was heard last.
+    };
+
+    /** What all nodes have admitted, as far as it counts against this node's part. */
+    struct Sums
+    {
+        double window = 0; ///< In the whole window.
+        double recent = 0; ///< In the newer half of it.
     };
 
+    auto sums(std::uint32_t organisation, Account &held, double part, Instant now) -> Sums;
+    auto forgetPeers(std::uint32_t organisation) -> void;
     auto demand(std::uint32_t organisation, Account &held, Instant now) const -> double;
 
     /** By organisation and the peer's incarnation. */
--- a/src/fleet/limit_shares.cpp
+++ b/src/fleet/limit_shares.cpp
@@ -12,6 +12,9 @@
 constexpr double MostTolerance = 0.9;
 constexpr double LeastTolerance = 0.3;
 /** Two groups of a partition may both count themselves as the larger one for a moment. */
+constexpr double WholePart = 0.999; ///< From here no node is missing.
+/** A peer in contact is heard many times within it. */
+constexpr Duration HeardLately = std::chrono::seconds(2);
 constexpr double HalfPart = 0.5;
 constexpr double LargerGroupExtra = 0.05; ///< What the larger group uses of the others' part.
 /** Part of a window's limit that may go in half of it: a restart forgets the other half only. */
@@ -21,9 +24,9 @@
 constexpr Duration AskedWindow = std::chrono::seconds(2); ///< Measures the present demand.
 /** Longer than a partition usually lasts; a peer that comes back later counts as a new one. */
 constexpr Duration PeerMemory = std::chrono::seconds(60);
-/** Part of a limit that a new process uses, and part that it assumes spent, evenly, before. */
-constexpr double YoungLimit = 0.9;
-constexpr double AssumedSpent = 0.8;
+/** Part of a limit that a new process uses: it has forgotten what it admitted. */
+constexpr double YoungLimit = 0.8;
+constexpr double AssumedSpent = 0.8; ///< Part of a limit that it assumes spent, evenly, before.
 constexpr double RetryMargin = 0.8; ///< Part of the share used; restarted nodes count anew.
 constexpr double ColdMargin = 0.85; ///< Part of the cold bound used; clocks of bursts differ.
 constexpr std::size_t MostColdOwners = 5; ///< Few enough to leave each several requests a second.
@@ -97,7 +100,7 @@
 {
     const WindowCounter empty(this->bounds.quotaWindow);
     return this->accounts
-        .try_emplace(organisation, Account{empty, empty, empty, false, WindowCounter(AskedWindow)})
+        .try_emplace(organisation, Account{empty, empty, false, WindowCounter(AskedWindow)})
         .first->second;
 }
 
@@ -123,6 +126,29 @@
            + std::max(LeastTolerance * tolerance, MostTolerance * tolerance - unheard) * part;
 }
 
+auto QuotaLedger::sums(std::uint32_t organisation, Account &held, double part, Instant now) -> Sums
+{
+    Sums result{held.own.sum(now) + part * held.before.sum(now), held.own.recentSum(now)};
+    for (auto peer = this->peerSpends.lower_bound({organisation, 0});
+         peer != this->peerSpends.end() && peer->first.first == organisation; ++peer) {
+        // A silent peer that was cut off keeps to its own part of the limit; while none is
+        // missing, a silent one has restarted.
+        if (part >= WholePart || now - peer->second.at < HeardLately) {
+            result.window += peer->second.window.sum(now);
+            result.recent += peer->second.window.recentSum(now);
+        }
+    }
+    return result;
+}
+
+auto QuotaLedger::forgetPeers(std::uint32_t organisation) -> void
+{
+    for (auto peer = this->peerSpends.lower_bound({organisation, 0});
+         peer != this->peerSpends.end() && peer->first.first == organisation; ++peer) {
+        peer->second.window.clear();
+    }
+}
+
 auto QuotaLedger::demand(std::uint32_t organisation, Account &held, Instant now) const -> double
 {
     double perSecond = held.asked.sum(now) / std::chrono::duration<double>(AskedWindow).count();
@@ -148,14 +174,14 @@
         }
         if (limit < held.limit) {
             // What was admitted under the higher limit was allowed.
-            for (auto *counter : {&held.own, &held.peers, &held.before}) {
-                counter->clear();
-            }
+            held.own.clear();
+            held.before.clear();
+            this->forgetPeers(nameId(organisation.name));
         }
         held.limit = limit;
         const double usable = this->usableLimit(organisation, held, part, now);
-        const double recent = held.own.recentSum(now) + held.peers.recentSum(now);
-        if (held.sum(now) + units > usable || recent + units > HalfWindowPart * usable) {
+        const auto spent = this->sums(nameId(organisation.name), held, part, now);
+        if (spent.window + units > usable || spent.recent + units > HalfWindowPart * usable) {
             return false;
         }
     }
@@ -175,28 +201,36 @@
     -> Duration
 {
     auto &held = this->account(nameId(organisation.name));
-    const double excess = held.sum(now) + units - this->windowLimit(organisation);
-    return std::max(LeastRetryAfter, std::min(held.own.timeToShed(excess / 2, now),
-                                              held.peers.timeToShed(excess / 2, now)));
+    const auto spent = this->sums(nameId(organisation.name), held, 1, now);
+    const double excess = spent.window + units - this->windowLimit(organisation);
+    // The others' admissions fall out of the window at the pace of this node's own.
+    const double ownExcess = excess * held.own.sum(now) / std::max(1.0, spent.window);
+    return std::max(LeastRetryAfter, held.own.timeToShed(ownExcess, now));
 }
 
 auto QuotaLedger::takePeer(std::uint64_t peer, const std::vector<SpendStatement> &spends,
                            Instant now) -> void
 {
+    const bool young = now - this->startedAt < this->bounds.quotaWindow;
     for (const auto &spend : spends) {
         const auto [known, added] =
-            this->peerSpends.try_emplace(std::pair(spend.organisation, peer));
+            this->peerSpends.try_emplace(std::pair(spend.organisation, peer),
+                                         PeerSpend{WindowCounter(this->bounds.quotaWindow)});
         const double fresh = spend.units - known->second.total;
-        known->second = {spend.units, spend.askedPerSecond, now};
-        auto &held = this->account(spend.organisation);
-        if (added && spend.fleetRecent > 0 && !held.beforeTold
-            && now - this->startedAt < this->bounds.quotaWindow) {
-            held.beforeTold = true;
-            held.before.clear();
-            held.before.spread(spend.fleetRecent, now);
-        } else if (fresh != 0 && (!added || spend.fleetRecent == 0)) {
-            // A young peer has admitted all of its total within the window.
-            held.peers.add(fresh, now);
+        known->second.total = spend.units;
+        known->second.askedPerSecond = spend.askedPerSecond;
+        known->second.at = now;
+        const bool peerYoung = spend.fleetRecent == 0;
+        if (added && young && !peerYoung) {
+            auto &held = this->account(spend.organisation);
+            if (!held.beforeTold) {
+                held.beforeTold = true;
+                held.before.clear();
+                held.before.spread(spend.fleetRecent, now);
+            }
+        } else if (!added || (!young && peerYoung)) {
+            // What a young peer has admitted in all counts; a young node has assumed it already.
+            known->second.window.add(fresh, now);
         }
     }
 }
@@ -208,7 +242,8 @@
     std::vector<SpendStatement> result;
     for (auto &[organisation, held] : this->accounts) {
         if (held.ownTotal > 0 || held.asked.sum(now) > 0) {
-            result.push_back({organisation, held.ownTotal, young ? 0 : held.sum(now),
+            result.push_back({organisation, held.ownTotal,
+                              young ? 0 : this->sums(organisation, held, 1, now).window,
                               held.asked.sum(now) / seconds});
         }
     }
