--- a/include/banyanring/fleet/limit_shares.h
+++ b/include/banyanring/fleet/limit_shares.h
@@ -175,6 +175,7 @@
     };
 
     auto sums(std::uint32_t organisation, Account &held, double part, Instant now) -> Sums;
+    auto askedSeconds(Instant now) const -> double;
     auto forgetPeers(std::uint32_t organisation) -> void;
     auto demand(std::uint32_t organisation, Account &held, Instant now) const -> double;
 
--- a/src/fleet/limit_shares.cpp
+++ b/src/fleet/limit_shares.cpp
@@ -20,13 +20,18 @@
 /** Part of a window's limit that may go in half of it: a restart forgets the other half only. */
 constexpr double HalfWindowPart = 0.7;
 /** What is asked for within it may be admitted by several nodes before they hear of each other. */
-constexpr Duration GossipLag = std::chrono::milliseconds(350);
+constexpr Duration GossipLag = std::chrono::milliseconds(500);
 constexpr Duration AskedWindow = std::chrono::seconds(2); ///< Measures the present demand.
 /** Longer than a partition usually lasts; a peer that comes back later counts as a new one. */
 constexpr Duration PeerMemory = std::chrono::seconds(60);
-/** Part of a limit that a new process uses: it has forgotten what it admitted. */
-constexpr double YoungLimit = 0.8;
-constexpr double AssumedSpent = 0.8; ///< Part of a limit that it assumes spent, evenly, before.
+/**
+ * Part of a limit that a new process assumes spent, evenly, before its start. While more than the
+ * limit is asked for it admits just what falls out of the window.
+ */
+constexpr double AssumedSpent = 0.8;
+constexpr double YoungTolerance = 0.2; ///< Part of the tolerance that it uses in calm times.
+/** The demand at a new process is averaged over this at least. */
+constexpr Duration LeastAskedTime = std::chrono::milliseconds(500);
 constexpr double RetryMargin = 0.8; ///< Part of the share used; restarted nodes count anew.
 constexpr double ColdMargin = 0.85; ///< Part of the cold bound used; clocks of bursts differ.
 constexpr std::size_t MostColdOwners = 5; ///< Few enough to leave each several requests a second.
@@ -115,13 +120,16 @@
 {
     const double limit = this->windowLimit(organisation);
     const double limitPart = part < HalfPart ? part : std::min(1.0, part + LargerGroupExtra);
-    if (now - this->startedAt < this->bounds.quotaWindow) {
-        return YoungLimit * limit * limitPart;
-    }
     const double slack = organisation.countsTokens ? this->bounds.quotaSlack : 0;
     const double tolerance = limit * this->bounds.quotaOvershoot + slack;
-    const double unheard = this->demand(nameId(organisation.name), held, now)
-                           * std::chrono::duration<double>(GossipLag).count();
+    const double demand = this->demand(nameId(organisation.name), held, now);
+    if (now - this->startedAt < this->bounds.quotaWindow) {
+        const auto window = std::chrono::duration<double>(this->bounds.quotaWindow).count();
+        return demand * window > limit * part
+                   ? AssumedSpent * limit * limitPart
+                   : limit * limitPart + YoungTolerance * tolerance * part;
+    }
+    const double unheard = demand * std::chrono::duration<double>(GossipLag).count();
     return limit * limitPart
            + std::max(LeastTolerance * tolerance, MostTolerance * tolerance - unheard) * part;
 }
@@ -149,9 +157,15 @@
     }
 }
 
+auto QuotaLedger::askedSeconds(Instant now) const -> double
+{
+    const auto counted = std::clamp(now - this->startedAt, LeastAskedTime, AskedWindow);
+    return std::chrono::duration<double>(counted).count();
+}
+
 auto QuotaLedger::demand(std::uint32_t organisation, Account &held, Instant now) const -> double
 {
-    double perSecond = held.asked.sum(now) / std::chrono::duration<double>(AskedWindow).count();
+    double perSecond = held.asked.sum(now) / this->askedSeconds(now);
     for (auto peer = this->peerSpends.lower_bound({organisation, 0});
          peer != this->peerSpends.end() && peer->first.first == organisation; ++peer) {
         if (now - peer->second.at < AskedWindow) {
@@ -237,7 +251,7 @@
 
 auto QuotaLedger::ownSpends(Instant now) -> std::vector<SpendStatement>
 {
-    const auto seconds = std::chrono::duration<double>(AskedWindow).count();
+    const auto seconds = this->askedSeconds(now);
     const bool young = now - this->startedAt < this->bounds.quotaWindow;
     std::vector<SpendStatement> result;
     for (auto &[organisation, held] : this->accounts) {
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -25,7 +25,7 @@
 constexpr double FirstByteMargin = 2;
 /** A queue that moves within it is no overload. */
 constexpr Duration LeastQueueWait = milliseconds(100);
-/** Overload lasts for seconds: callers are sent away for as long as they are ready to wait. */
+/** Bursts last for seconds: callers are sent away for as long as they are ready to wait. */
 constexpr int RetryAfterPart = 3;
 constexpr Duration RepeatDue = milliseconds(100); ///< A repeat is urgent.
 constexpr Duration ShortRetryAfter = milliseconds(250); ///< The cause passes quickly.
@@ -177,8 +177,9 @@
         this->step("over_quota", std::to_string(static_cast<std::int64_t>(cost))
                                      + " units, part of the fleet in contact "
                                      + std::to_string(part));
-        this->refuse(429, Cause::OverQuota,
-                     books.quotas.retryAfter(*this->organisation, cost, now));
+        this->refuse(
+            429, Cause::OverQuota,
+            this->comeBackAfter(books.quotas.retryAfter(*this->organisation, cost, now)));
         return false;
     }
     this->units = cost;
