--- a/include/banyanring/fleet/limit_shares.h
+++ b/include/banyanring/fleet/limit_shares.h
@@ -70,6 +70,14 @@
     std::int64_t newest = 0; ///< Number of the present bucket since the origin.
 };
 
+/** What was decided on a request's units, and on what. */
+struct QuotaDecision
+{
+    bool admitted = true; ///< It is within the limit, and was counted.
+    double spent = 0; ///< Units of the window by all nodes, as far as known.
+    double usable = 0; ///< Units of a window that may be spent; 0 for no limit.
+};
+
 /**
  * Organisations' limits. Each node keeps an estimate of what the whole fleet has admitted in the
  * sliding window: its own admissions at once, its peers' by gossip. The nodes in contact share the
@@ -94,10 +102,10 @@
      * @param units Its units.
      * @param part Part of the fleet that is in contact.
      * @param now The present.
-     * @return Whether it is within the limit; nothing is counted otherwise.
+     * @return The decision; nothing is counted unless it is admitted.
      */
     auto admit(const OrganisationRule &organisation, double units, double part, Instant now)
-        -> bool;
+        -> QuotaDecision;
 
     /**
      * Gives back what a request that did not run was counted with.
--- a/include/banyanring/fleet/server_book.h
+++ b/include/banyanring/fleet/server_book.h
@@ -131,16 +131,18 @@
      * Notes that a connection to a server could not be opened or broke.
      * @param server The server.
      * @param now The present.
+     * @return Whether it is avoided from now on and was not before.
      */
-    static auto noteUnreachable(Server &server, Instant now) -> void;
+    static auto noteUnreachable(Server &server, Instant now) -> bool;
 
     /**
      * Notes that a server answered. One that was out of reach may have restarted.
      * @param server The server.
      * @param coldFor How long a server of its service stays cold after a start.
      * @param now The present.
+     * @return Whether it was out of reach before.
      */
-    static auto noteReachable(Server &server, Duration coldFor, Instant now) -> void;
+    static auto noteReachable(Server &server, Duration coldFor, Instant now) -> bool;
 
     /**
      * Learns from the end of a request and sets a server aside that fails far more often than the
--- a/src/fleet/limit_shares.cpp
+++ b/src/fleet/limit_shares.cpp
@@ -176,8 +176,9 @@
 }
 
 auto QuotaLedger::admit(const OrganisationRule &organisation, double units, double part,
-                        Instant now) -> bool
+                        Instant now) -> QuotaDecision
 {
+    QuotaDecision decision;
     auto &held = this->account(nameId(organisation.name));
     held.asked.add(units, now);
     if (organisation.ratePerSecond > 0) {
@@ -193,15 +194,18 @@
             this->forgetPeers(nameId(organisation.name));
         }
         held.limit = limit;
-        const double usable = this->usableLimit(organisation, held, part, now);
         const auto spent = this->sums(nameId(organisation.name), held, part, now);
-        if (spent.window + units > usable || spent.recent + units > HalfWindowPart * usable) {
-            return false;
+        decision.usable = this->usableLimit(organisation, held, part, now);
+        decision.spent = spent.window;
+        decision.admitted = spent.window + units <= decision.usable
+                            && spent.recent + units <= HalfWindowPart * decision.usable;
+        if (!decision.admitted) {
+            return decision;
         }
     }
     held.own.add(units, now);
     held.ownTotal += units;
-    return true;
+    return decision;
 }
 
 auto QuotaLedger::giveBack(std::string_view organisation, double units, Instant now) -> void
--- a/src/fleet/server_book.cpp
+++ b/src/fleet/server_book.cpp
@@ -119,26 +119,29 @@
     return dropped;
 }
 
-auto ServerBook::noteUnreachable(Server &server, Instant now) -> void
+auto ServerBook::noteUnreachable(Server &server, Instant now) -> bool
 {
     if (now < server.avoidUntil) {
-        return;
+        return false;
     }
     server.wasUnreachable = true;
     server.avoidFor = server.avoidFor == Duration(0)
                           ? FirstAvoidance
                           : std::min(LongestAvoidance, 2 * server.avoidFor);
     server.avoidUntil = now + server.avoidFor;
+    return true;
 }
 
-auto ServerBook::noteReachable(Server &server, Duration coldFor, Instant now) -> void
+auto ServerBook::noteReachable(Server &server, Duration coldFor, Instant now) -> bool
 {
     server.avoidFor = Duration(0);
     server.avoidUntil = Instant(0);
-    if (server.wasUnreachable) {
-        server.wasUnreachable = false;
-        server.coldUntil = std::max(server.coldUntil, now + coldFor);
+    if (!server.wasUnreachable) {
+        return false;
     }
+    server.wasUnreachable = false;
+    server.coldUntil = std::max(server.coldUntil, now + coldFor);
+    return true;
 }
 
 auto ServerBook::judge(Server &server, ServerVerdict verdict, Instant now) -> bool
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -238,6 +238,14 @@
         }
         this->aliveBefore[address] = alive;
     }
+    const auto part = this->books.members.reachablePart(now);
+    if (part != this->partBefore) {
+        logEvent("limits_part",
+                 {{"part", part},
+                  {"part_before", this->partBefore},
+                  {"fleet_size", static_cast<std::int64_t>(this->books.members.fleetSize(now))}});
+        this->partBefore = part;
+    }
     this->followPeers(now);
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -73,6 +73,7 @@
     Instant behindSince{}; ///< Since when a peer has a newer configuration; zero if none has.
     Instant storeLostAt{}; ///< Since when the store does not answer; zero if it does.
     Instant nextFollowAt{};
+    double partBefore = 0; ///< Part of the fleet in contact, to log its change.
     std::map<std::string, bool> aliveBefore; ///< Members, to log their loss.
 };
 
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -1,4 +1,5 @@
 /** @file request_exchange.cpp A request's dispatches to servers and their answers. */
+#include "banyanring/adapters/log_func.h"
 #include "banyanring/gateway/request_run.h"
 #include "request_headers.h"
 
@@ -123,7 +124,11 @@
         this->promptCounted = false;
     }
     const auto *rule = this->forServer();
-    fleet::ServerBook::noteReachable(target, rule != nullptr ? rule->coldFor : Duration(0), now);
+    const auto coldFor = rule != nullptr ? rule->coldFor : Duration(0);
+    if (fleet::ServerBook::noteReachable(target, coldFor, now)) {
+        logEvent("server_reachable", {{"server", target.entry.id},
+                                      {"cold_ms", std::int64_t{coldFor / milliseconds(1)}}});
+    }
     if (head.loadRequests) {
         target.reportedOthers =
             *head.loadRequests > target.own.requests ? *head.loadRequests - target.own.requests : 0;
@@ -225,8 +230,13 @@
 auto RequestRun::onAnswerFailed(ExchangeFailure failure) -> void
 {
     if (failure == ExchangeFailure::NotSent) {
-        fleet::ServerBook::noteUnreachable(*this->server, this->scheduler.clock());
         const auto id = this->server->entry.id;
+        if (fleet::ServerBook::noteUnreachable(*this->server, this->scheduler.clock())) {
+            logEvent("server_unreachable",
+                     {{"server", id},
+                      {"request_id", this->request.id},
+                      {"avoid_ms", std::int64_t{this->server->avoidFor / milliseconds(1)}}});
+        }
         this->endExchange(fleet::ServerVerdict::Neutral);
         if (++this->unconnected >= MostUnconnected) {
             this->refuseWaiting();
@@ -274,7 +284,11 @@
     this->mayHaveRun = true;
     ++this->serversRun;
     if (why == "no_answer" || why == "truncated") {
-        this->scheduler.books.suspects.note(this->fingerprint, this->server->number, now);
+        auto &suspects = this->scheduler.books.suspects;
+        suspects.note(this->fingerprint, this->server->number, now);
+        if (suspects.refused(this->fingerprint, now)) {
+            logEvent("crash_suspect", {{"request_id", this->request.id}, {"server", id}});
+        }
     }
     this->endExchange(fleet::ServerVerdict::Failed);
     this->step("server_failed", id + " " + std::string(why));
@@ -333,7 +347,11 @@
         this->promptCounted = false;
     }
     if (this->scheduler.books.servers.judge(target, verdict, this->scheduler.clock())) {
-        this->scheduler.metrics.count("server_ejected");
+        this->scheduler.metrics.count("server_set_aside");
+        logEvent("server_set_aside", {{"server", target.entry.id},
+                                      {"service", target.entry.service},
+                                      {"request_id", this->request.id},
+                                      {"service_failures", target.pace.failures}});
     }
     this->exchange->cancel();
     this->scheduler.retired.push_back(std::move(this->exchange));
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -173,13 +173,17 @@
                           ? this->request.promptTokens + this->request.outputTokens
                           : this->organisation->plainUnits;
     const auto part = books.members.reachablePart(now);
-    if (!books.quotas.admit(*this->organisation, cost, part, now)) {
-        this->step("over_quota", std::to_string(static_cast<std::int64_t>(cost))
-                                     + " units, part of the fleet in contact "
+    const auto decision = books.quotas.admit(*this->organisation, cost, part, now);
+    if (!decision.admitted) {
+        const auto whole = [](double units) {
+            return std::to_string(static_cast<std::int64_t>(units));
+        };
+        this->step("over_quota", whole(cost) + " units on " + whole(decision.spent) + " spent of "
+                                     + whole(decision.usable)
+                                     + " usable, part of the fleet in contact "
                                      + std::to_string(part));
-        this->refuse(
-            429, Cause::OverQuota,
-            this->comeBackAfter(books.quotas.retryAfter(*this->organisation, cost, now)));
+        this->refuse(429, Cause::OverQuota,
+                     this->comeBackAfter(books.quotas.retryAfter(*this->organisation, cost, now)));
         return false;
     }
     this->units = cost;
--- a/src/tool/explain_logs.cpp
+++ b/src/tool/explain_logs.cpp
@@ -17,6 +17,7 @@
 
 /** News of the last seconds before a request may have decided its fate. */
 constexpr std::int64_t ContextBeforeMs = 5000;
+constexpr std::int64_t SameTimeMs = 1000; ///< Failures this near have one cause most often.
 constexpr std::int64_t ContextAfterMs = 500; ///< Clocks of VMs differ by less.
 
 /** What each outcome of a request means for the one on call. */
@@ -122,6 +123,21 @@
     std::cout << "\n";
 }
 
+/** Counts the requests that failed at some servers around a time. */
+auto failuresAround(const std::vector<Line> &lines, const std::set<std::string> &servers,
+                    std::int64_t atMs) -> std::size_t
+{
+    return static_cast<std::size_t>(
+        std::count_if(lines.begin(), lines.end(), [&](const Line &line) {
+            const auto outcome = line.fields.value("outcome", "");
+            const auto named = serversOf(line.fields);
+            return std::abs(line.atMs - atMs) <= SameTimeMs
+                   && (outcome == "server_failed" || outcome == "timed_out")
+                   && std::any_of(named.begin(), named.end(),
+                                  [&](const std::string &name) { return servers.contains(name); });
+        }));
+}
+
 /** Prints one try of a request with what was believed around it. */
 auto printStory(const Line &found, const std::vector<Line> &lines) -> void
 {
@@ -140,6 +156,10 @@
     std::cout << (request.value("may_have_run", false) ? "it may have run" : "it has not run")
               << "; news that the node and its servers had around it:\n";
     const auto servers = serversOf(request);
+    if (!servers.empty()) {
+        std::cout << "  " << failuresAround(lines, servers, found.atMs)
+                  << " requests failed at its servers within a second\n";
+    }
     for (const auto &line : lines) {
         if (line.atMs < begunMs - ContextBeforeMs || line.atMs > found.atMs + ContextAfterMs
             || !concerns(line, request, servers)) {
--- a/tests/fleet/member_tests.cpp
+++ b/tests/fleet/member_tests.cpp
@@ -184,23 +184,23 @@
     {
         QuotaLedger ledger(this->bounds, seconds(0));
         OrganisationRule red{"red", std::nullopt, 100, 100, 1, false};
-        CPPUNIT_ASSERT(ledger.admit(red, 500, 1, seconds(20)));
+        CPPUNIT_ASSERT(ledger.admit(red, 500, 1, seconds(20)).admitted);
         red.ratePerSecond = 10;
         red.burst = 10;
-        CPPUNIT_ASSERT(ledger.admit(red, 50, 1, seconds(21)));
-        CPPUNIT_ASSERT(!ledger.admit(red, 50, 1, seconds(21)));
+        CPPUNIT_ASSERT(ledger.admit(red, 50, 1, seconds(21)).admitted);
+        CPPUNIT_ASSERT(!ledger.admit(red, 50, 1, seconds(21)).admitted);
     }
 
     auto quota_refused_canComeBack() -> void
     {
         QuotaLedger ledger(this->bounds, seconds(0));
         const OrganisationRule red{"red", std::nullopt, 100, 100, 1, false};
-        CPPUNIT_ASSERT(ledger.admit(red, 500, 1, seconds(20)));
-        CPPUNIT_ASSERT(!ledger.admit(red, 500, 1, seconds(21)));
+        CPPUNIT_ASSERT(ledger.admit(red, 500, 1, seconds(20)).admitted);
+        CPPUNIT_ASSERT(!ledger.admit(red, 500, 1, seconds(21)).admitted);
         const auto wait = ledger.retryAfter(red, 100, seconds(21));
         CPPUNIT_ASSERT(wait > seconds(0));
         CPPUNIT_ASSERT(wait <= seconds(9));
-        CPPUNIT_ASSERT(ledger.admit(red, 500, 1, seconds(31)));
+        CPPUNIT_ASSERT(ledger.admit(red, 500, 1, seconds(31)).admitted);
     }
 
 private:
@@ -275,7 +275,7 @@
                 const auto reached = static_cast<std::size_t>(random() % Nodes);
                 auto &peer = peers[reached];
                 sums.asked += size;
-                if (peer.ledger.admit(red, size, partOf(peers, reached), now)) {
+                if (peer.ledger.admit(red, size, partOf(peers, reached), now).admitted) {
                     sums.admitted += size;
                     admitted.emplace_back(now, size);
                 }
