--- a/include/banyanring/fleet/peer_state_type.h
+++ b/include/banyanring/fleet/peer_state_type.h
@@ -30,12 +30,18 @@
     Duration age{}; ///< Time since it was stated, added up over the hops.
 };
 
-/** A node's own work at a backend server, and the server's pace as it saw it. */
+/** A node's own work at a backend server. */
 struct LoadStatement
 {
     std::uint32_t server = 0; ///< Number of the server.
     std::uint32_t requests = 0; ///< Requests sent and not ended.
     std::uint32_t promptWork = 0; ///< Work of reading the prompts without a first byte.
+};
+
+/** A backend server's pace as a node saw it. */
+struct PaceStatement
+{
+    std::uint32_t server = 0; ///< Number of the server.
     float firstByteMs = 0; ///< Time to the first byte without a prompt.
     float promptMsPerToken = 0; ///< Further time per prompt work; 0 unknown.
     float outputMsPerToken = 0; ///< Time per output token; 0 unknown.
@@ -61,8 +67,9 @@
 struct GossipMessage
 {
     NodeStatement sender; ///< The sender itself; its age is zero.
-    std::vector<NodeStatement> others; ///< A sample of what it knows of others.
+    std::vector<NodeStatement> others; ///< A sample of what it knows of others; now and then.
     std::vector<LoadStatement> loads; ///< The sender's own work.
+    std::vector<PaceStatement> paces; ///< What it saw of servers; now and then.
     std::vector<SpendStatement> spends; ///< The sender's own admissions.
     std::vector<SuspectStatement> suspects; ///< Fresh ones, from anywhere.
     bool replyWanted = false; ///< The sender is new and asks for an answer at once.
--- a/include/banyanring/fleet/server_book.h
+++ b/include/banyanring/fleet/server_book.h
@@ -162,9 +162,9 @@
 
     /**
      * Takes paces that a peer saw, of servers that this node does not know the pace of.
-     * @param loads What the peer stated.
+     * @param paces What the peer stated.
      */
-    auto adoptPaces(const std::vector<LoadStatement> &loads) -> void;
+    auto adoptPaces(const std::vector<PaceStatement> &paces) -> void;
 
     /**
      * Lists the servers of a service.
--- a/include/banyanring/gateway/peer_gossip.h
+++ b/include/banyanring/gateway/peer_gossip.h
@@ -52,7 +52,7 @@
     auto receive() -> void;
     auto take(const fleet::GossipMessage &message) -> void;
     auto sendTo(const std::string &address, const std::string &bytes) -> void;
-    auto compose(bool replyWanted) -> std::string;
+    auto compose(bool replyWanted, bool full) -> std::string;
 
     NodeBooks &books;
     std::function<fleet::NodeStatement()> statement;
@@ -61,6 +61,7 @@
     std::array<char, MostBytes> incoming{};
     std::mt19937_64 random;
     std::uint64_t sequence = 0;
+    std::uint64_t rounds = 0;
     std::map<std::string, std::vector<fleet::LoadStatement>> loads; ///< By peer address.
     Traffic counts;
 };
--- a/src/fleet/server_book.cpp
+++ b/src/fleet/server_book.cpp
@@ -184,22 +184,22 @@
     }
 }
 
-auto ServerBook::adoptPaces(const std::vector<LoadStatement> &loads) -> void
+auto ServerBook::adoptPaces(const std::vector<PaceStatement> &paces) -> void
 {
     for (const auto &[id, server] : this->servers) {
-        auto &pace = server->pace;
-        if (pace.firstByte.known() && pace.outputMsPerToken > 0) {
+        auto &own = server->pace;
+        if (own.firstByte.known() && own.outputMsPerToken > 0) {
             continue;
         }
-        for (const auto &load : loads) {
-            if (load.server != server->number) {
+        for (const auto &told : paces) {
+            if (told.server != server->number) {
                 continue;
             }
-            if (!pace.firstByte.known() && load.promptMsPerToken > 0) {
-                pace.firstByte.adopt(load.firstByteMs, load.promptMsPerToken);
+            if (!own.firstByte.known() && told.promptMsPerToken > 0) {
+                own.firstByte.adopt(told.firstByteMs, told.promptMsPerToken);
             }
-            if (pace.outputMsPerToken == 0) {
-                pace.outputMsPerToken = load.outputMsPerToken;
+            if (own.outputMsPerToken == 0) {
+                own.outputMsPerToken = told.outputMsPerToken;
             }
         }
     }
--- a/src/gateway/gossip_codec.cpp
+++ b/src/gateway/gossip_codec.cpp
@@ -12,11 +12,12 @@
 
 using Statement = std::tuple<std::string, std::string, std::string, std::uint64_t, std::uint64_t,
                              std::uint8_t, std::uint64_t, std::uint64_t, bool, std::int64_t>;
-using Load = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t, float, float, float>;
+using Load = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>;
+using Pace = std::tuple<std::uint32_t, float, float, float>;
 using Spend = std::tuple<std::uint32_t, double, double, double>;
 using Suspect = std::tuple<std::uint64_t, std::vector<std::uint32_t>>;
 using Message = std::tuple<int, Statement, std::vector<Statement>, std::vector<Load>,
-                           std::vector<Spend>, std::vector<Suspect>, bool>;
+                           std::vector<Spend>, std::vector<Suspect>, bool, std::vector<Pace>>;
 using Item = std::tuple<std::string, std::string, std::uint64_t>;
 using Mirror = std::tuple<int, std::uint64_t, std::vector<Item>>;
 
@@ -75,9 +76,11 @@
         std::get<2>(sent).push_back(pack(other));
     }
     for (const auto &load : message.loads) {
-        std::get<3>(sent).emplace_back(load.server, load.requests, load.promptWork,
-                                       load.firstByteMs, load.promptMsPerToken,
-                                       load.outputMsPerToken);
+        std::get<3>(sent).emplace_back(load.server, load.requests, load.promptWork);
+    }
+    for (const auto &pace : message.paces) {
+        std::get<7>(sent).emplace_back(pace.server, pace.firstByteMs, pace.promptMsPerToken,
+                                       pace.outputMsPerToken);
     }
     for (const auto &spend : message.spends) {
         std::get<4>(sent).emplace_back(spend.organisation, spend.units, spend.fleetRecent,
@@ -101,8 +104,11 @@
     for (const auto &other : std::get<2>(*sent)) {
         message.others.push_back(unpack(other));
     }
-    for (const auto &[server, requests, work, base, promptPace, outputPace] : std::get<3>(*sent)) {
-        message.loads.push_back({server, requests, work, base, promptPace, outputPace});
+    for (const auto &[server, requests, work] : std::get<3>(*sent)) {
+        message.loads.push_back({server, requests, work});
+    }
+    for (const auto &[server, base, promptPace, outputPace] : std::get<7>(*sent)) {
+        message.paces.push_back({server, base, promptPace, outputPace});
     }
     for (const auto &[organisation, units, recent, asked] : std::get<4>(*sent)) {
         message.spends.push_back({organisation, units, recent, asked});
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -14,6 +14,8 @@
 
 /** Everyone in a small fleet; keeps the bytes of a large one bounded. */
 constexpr std::size_t FanOut = 10;
+/** Rounds between messages with what changes slowly: others' statements, paces, suspects. */
+constexpr std::uint64_t FullRounds = 5;
 constexpr std::size_t RelayedStatements = 8; ///< A sample; news spreads in a few rounds.
 
 /** @return A parsed "IP:port". */
@@ -83,11 +85,11 @@
         note(other, false);
     }
     this->loads[message.sender.peerAddress] = message.loads;
-    this->books.servers.adoptPaces(message.loads);
+    this->books.servers.adoptPaces(message.paces);
     this->books.quotas.takePeer(message.sender.incarnation, message.spends, now);
     this->books.suspects.takePeer(message.suspects, now);
     if (message.replyWanted) {
-        this->sendTo(message.sender.peerAddress, this->compose(false));
+        this->sendTo(message.sender.peerAddress, this->compose(false, true));
     }
 }
 
@@ -111,26 +113,30 @@
     this->books.servers.takePeerLoads(sums);
 }
 
-auto PeerGossip::compose(bool replyWanted) -> std::string
+auto PeerGossip::compose(bool replyWanted, bool full) -> std::string
 {
     const auto now = bootNow();
     fleet::GossipMessage message;
     message.sender = this->statement();
     message.sender.sequence = ++this->sequence;
-    message.others = this->books.members.relaySample(RelayedStatements, this->random, now);
+    if (full) {
+        message.others = this->books.members.relaySample(RelayedStatements, this->random, now);
+        message.suspects = this->books.suspects.statements(now);
+    }
     for (const auto &[id, server] : this->books.servers.all()) {
         const auto &pace = server->pace;
-        if (server->own.requests > 0 || pace.outputMsPerToken > 0) {
+        if (server->own.requests > 0) {
             message.loads.push_back(
                 {server->number, server->own.requests,
-                 static_cast<std::uint32_t>(std::max(0.0, server->own.promptWork)),
-                 pace.firstByte.known() ? static_cast<float>(pace.firstByte.base()) : 0,
-                 pace.firstByte.known() ? static_cast<float>(pace.firstByte.slope()) : 0,
-                 static_cast<float>(pace.outputMsPerToken)});
+                 static_cast<std::uint32_t>(std::max(0.0, server->own.promptWork))});
+        }
+        if (full && pace.firstByte.known()) {
+            message.paces.push_back({server->number, static_cast<float>(pace.firstByte.base()),
+                                     static_cast<float>(pace.firstByte.slope()),
+                                     static_cast<float>(pace.outputMsPerToken)});
         }
     }
     message.spends = this->books.quotas.ownSpends(now);
-    message.suspects = this->books.suspects.statements(now);
     message.replyWanted = replyWanted;
     return encodeGossip(message);
 }
@@ -143,7 +149,7 @@
         return;
     }
     const bool alone = this->books.members.live(now).empty();
-    const auto bytes = this->compose(alone);
+    const auto bytes = this->compose(alone, alone || this->rounds++ % FullRounds == 0);
     for (const auto &target : targets) {
         this->sendTo(target, bytes);
     }
--- a/tests/fleet/platform_tests.cpp
+++ b/tests/fleet/platform_tests.cpp
@@ -317,7 +317,8 @@
         message.sender.phase = fleet::NodePhase::Draining;
         message.others.push_back(message.sender);
         message.others.back().age = milliseconds(40);
-        message.loads.push_back({7, 3, 1200, 9.0F, 0.5F, 2.5F});
+        message.loads.push_back({7, 3, 1200});
+        message.paces.push_back({7, 9.0F, 0.5F, 2.5F});
         message.spends.push_back({9, 100, 50, 7});
         message.suspects.push_back({11, {1, 2}});
         message.replyWanted = true;
@@ -326,7 +327,7 @@
         CPPUNIT_ASSERT(back->sender.phase == fleet::NodePhase::Draining);
         CPPUNIT_ASSERT(back->others[0].age == milliseconds(40));
         CPPUNIT_ASSERT_EQUAL(1200U, back->loads[0].promptWork);
-        CPPUNIT_ASSERT_EQUAL(2.5F, back->loads[0].outputMsPerToken);
+        CPPUNIT_ASSERT_EQUAL(2.5F, back->paces[0].outputMsPerToken);
         CPPUNIT_ASSERT_EQUAL(50.0, back->spends[0].fleetRecent);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, back->suspects[0].servers.size());
         CPPUNIT_ASSERT(back->replyWanted);
