Young nodes send nothing to cold servers; settings are read without a signal; accepting goes on after a failure

Found by reading: seven young nodes could send 28 requests a second to one cold server, whose bound is 24.5. Test first: ownsCold_youngNode_isNoOwner.

--- a/include/banyanring/fleet/fleet_members.h
+++ b/include/banyanring/fleet/fleet_members.h
@@ -77,7 +77,8 @@
 
     /**
      * Tells whether this node is one of the few that may send to a cold server. All remembered
-     * nodes take part in the choice, so that both sides of a partition choose alike.
+     * nodes take part in the choice, so that both sides of a partition choose alike. A young
+     * process may not, as it does not know the others yet.
      * @param server Number of the server.
      * @param owners How many nodes may.
      * @param now The present.
--- a/include/banyanring/gateway/door.h
+++ b/include/banyanring/gateway/door.h
@@ -21,7 +21,8 @@
      */
     Door(boost::asio::io_context &context, const fleet::Endpoint &endpoint, DoorHandler handler);
 
-    /** @param now The present; checks all sessions' time limits. */
+    /** @param now The present; checks all sessions' time limits and accepts again after a failure.
+     */
     auto tick(Instant now) -> void;
 
     /** The node is stopping: each answer says that the connection closes. */
@@ -43,6 +44,7 @@
     boost::asio::ip::tcp::acceptor acceptor;
     DoorHandler handler;
     bool closing = false;
+    bool paused = false; ///< Accepting failed; the next tick goes on.
     std::vector<std::weak_ptr<CallerSession>> sessions;
 };
 
--- a/src/fleet/fleet_members.cpp
+++ b/src/fleet/fleet_members.cpp
@@ -73,8 +73,8 @@
 
 auto FleetMembers::ownsCold(std::uint32_t server, std::size_t owners, Instant now) const -> bool
 {
-    if (this->fleetSize(now) > this->members.size() + 1) {
-        return true;
+    if (now - this->startedAt < YoungFor) {
+        return false;
     }
     const auto weight = [server](const std::string &address) {
         return mix64((static_cast<std::uint64_t>(server) << 32U) ^ nameId(address));
--- a/src/gateway/door.cpp
+++ b/src/gateway/door.cpp
@@ -34,13 +34,15 @@
                 return;
             }
             if (error) {
+                // Descriptors may be used up; the next tick tries again.
                 logEvent("accept_failed", {{"error", error.message()}});
-            } else {
-                auto session = std::make_shared<CallerSession>(std::move(socket), this->handler);
-                session->closeAfterAnswer = this->closing;
-                this->sessions.push_back(session);
-                session->start();
+                this->paused = true;
+                return;
             }
+            auto session = std::make_shared<CallerSession>(std::move(socket), this->handler);
+            session->closeAfterAnswer = this->closing;
+            this->sessions.push_back(session);
+            session->start();
             if (this->acceptor.is_open()) {
                 this->accept();
             }
@@ -49,6 +51,10 @@
 
 auto Door::tick(Instant now) -> void
 {
+    if (this->paused && this->acceptor.is_open()) {
+        this->paused = false;
+        this->accept();
+    }
     std::erase_if(this->sessions, [now](const std::weak_ptr<CallerSession> &weak) {
         const auto session = weak.lock();
         if (!session || session->isClosed()) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -19,6 +19,7 @@
 constexpr Duration TickInterval = milliseconds(50); ///< Granularity of all time limits.
 constexpr std::uint64_t GossipTicks = 2; ///< Ticks between rounds of gossip.
 constexpr std::uint64_t SlowTicks = 5; ///< Ticks between checks of sessions and members.
+constexpr std::uint64_t SettingsTicks = 40; ///< Ticks between looks at the settings file.
 /** A caller that was given a stale address learns better within it. */
 constexpr Duration DirectoryTtl = milliseconds(1000);
 constexpr Duration FollowInterval = milliseconds(700); ///< Between fetches from peers.
@@ -205,6 +206,9 @@
     if (this->ticks % SlowTicks == 0) {
         this->slowTick(now);
     }
+    if (this->ticks % SettingsTicks == 0) {
+        this->reloadSettings(false);
+    }
     if (this->stopAsked) {
         this->continueStop(now);
     }
@@ -310,7 +314,7 @@
             return;
         }
         if (signal == SIGHUP) {
-            this->reloadSettings();
+            this->reloadSettings(true);
         } else if (!this->stopAsked) {
             this->beginStop();
         }
@@ -318,17 +322,25 @@
     });
 }
 
-auto Gateway::reloadSettings() -> void
+auto Gateway::reloadSettings(bool asked) -> void
 {
     try {
         const auto fresh = this->reload();
+        const bool changed =
+            fresh.seeds != this->environment.seeds || !(fresh.store == this->environment.store);
+        if (!changed && !asked) {
+            return;
+        }
         this->environment.seeds = fresh.seeds;
         this->environment.store = fresh.store;
         this->books.members.setSeeds(fresh.seeds);
         this->store.setAddress(fresh.store.text());
-        logEvent("settings_reloaded", {{"store", fresh.store.text()}});
+        logEvent("settings_reloaded", {{"store", fresh.store.text()}, {"changed", changed}});
     } catch (const std::exception &error) {
-        logEvent("settings_rejected", {{"error", error.what()}});
+        if (asked || this->settingsReadable) {
+            logEvent("settings_rejected", {{"error", error.what()}});
+        }
+        this->settingsReadable = false;
     }
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -41,7 +41,7 @@
     auto followPeers(Instant now) -> void;
     auto takePeerMirror(const std::string &peer, const FetchResult &result) -> void;
     auto awaitSignals() -> void;
-    auto reloadSettings() -> void;
+    auto reloadSettings(bool asked) -> void;
     auto beginStop() -> void;
     auto continueStop(Instant now) -> void;
     auto stateText() const -> std::string;
@@ -68,6 +68,7 @@
     boost::asio::signal_set signals;
     boost::asio::steady_timer timer;
     std::uint64_t ticks = 0;
+    bool settingsReadable = true; ///< The last look at the settings file went well.
     fleet::NodePhase phase = fleet::NodePhase::Starting;
     std::optional<Instant> stopAsked;
     Instant behindSince{}; ///< Since when a peer has a newer configuration; zero if none has.
--- a/src/tool/explain_logs.cpp
+++ b/src/tool/explain_logs.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <sstream>
 
 namespace banyanring::tool {
 
@@ -84,16 +85,19 @@
     return lines;
 }
 
-/** @return Words of a request's steps that may name servers. */
+/** @return The servers that a request's steps name. */
 auto serversOf(const json &request) -> std::set<std::string>
 {
+    static const std::set<std::string> ServerSteps{
+        "placed:", "server_failed:", "rejected:", "unreachable:"};
     std::set<std::string> names;
     for (const auto &step : request.value("steps", json::array())) {
         std::istringstream words(step.get<std::string>());
-        for (std::string word; words >> word;) {
-            if (word.starts_with("i-")) {
-                names.insert(word);
-            }
+        std::string word;
+        while (words >> word && !ServerSteps.contains(word)) {
+        }
+        if (words >> word) {
+            names.insert(word);
         }
     }
     return names;
--- a/tests/fleet/member_tests.cpp
+++ b/tests/fleet/member_tests.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(gossipTargets_allSilent_triesSeedsAndSilentOnes);
     CPPUNIT_TEST(reachablePart_anySplit_sumsToTheWhole);
     CPPUNIT_TEST(ownsCold_allNodes_agreeOnTheOwners);
+    CPPUNIT_TEST(ownsCold_youngNode_isNoOwner);
     CPPUNIT_TEST(directory_drainingAndDead_areNotNamed);
     CPPUNIT_TEST(directory_selfDraining_namesOthersOnly);
     CPPUNIT_TEST_SUITE_END();
@@ -106,6 +107,12 @@
         CPPUNIT_ASSERT_EQUAL(4, owners);
     }
 
+    auto ownsCold_youngNode_isNoOwner() -> void
+    {
+        CPPUNIT_ASSERT(!this->members.ownsCold(42, 4, seconds(1)));
+        CPPUNIT_ASSERT(this->members.ownsCold(42, 4, seconds(3)));
+    }
+
     auto directory_drainingAndDead_areNotNamed() -> void
     {
         this->members.take(statementOf(2, 5, 1), seconds(10));
--- a/tests/process/platform_tests.py
+++ b/tests/process/platform_tests.py
@@ -8,7 +8,7 @@
 import threading
 import time
 
-from platform_standin import HOST, Fleet, get
+from platform_standin import BUILD, HOST, Fleet, get
 
 APPLY_S = 2.0  # Target: a change is in force at each node that reaches the store within it.
 FORGET_S = 6.0  # Target: the directory names no node that has been dead for longer.
@@ -189,5 +189,61 @@
         assert bad.returncode == 2 and b"line 1" in bad.stderr, bad
 
 
+def test_explain():
+    with Fleet() as fleet:
+        fleet.wait_ready()
+        node = fleet.nodes[0]
+        client = Client(node.ports["front"])
+        assert client.send("/order/1", attempt="try-good")[0].status == 200
+        assert client.send("/order/1", key="stolen", attempt="try-bad")[0].status == 401
+        time.sleep(1.5)
+        operator = f"127.0.0.1:{node.metrics_port()}"
+        for where in (str(fleet.folder), operator):
+            code, text = tool("explain", "try-good", where)
+            assert code == 0 and "placed" in text and "i-desk-" in text, (where, text)
+            code, text = tool("explain", "try-bad", where)
+            assert code == 0 and "bad_key" in text, (where, text)
+            code, text = tool("explain", "try-unknown", where)
+            assert code == 1, (where, text)
+        code, text = tool("explain", "try-bad", str(fleet.folder))
+        assert "it has not run" in text and "withdrawn" in text, text
+        code, text = tool("status", *(f"127.0.0.1:{n.metrics_port()}" for n in fleet.nodes))
+        assert code == 0 and text.count("members 2/2") == 3, text
+        code, text = tool("status", "127.0.0.1:1")
+        assert code == 3, text
+        assert json.loads(tool("dump", operator)[1])["node"] == "node-0"
+
+
+def test_check():
+    with Fleet(nodes=1, start=False) as fleet:
+        good = fleet.folder / "good.conf"
+        fleet.nodes[0].start()
+        good.write_text(fleet.nodes[0].settings.read_text())
+        assert tool("check", str(good)) == (0, f"{good}: usable\n")
+        bad = fleet.folder / "bad.conf"
+        bad.write_text(good.read_text() + "bounds.grace_s=soon\n")
+        code, text = tool("check", str(bad))
+        line = len(bad.read_text().splitlines())
+        assert code == 1 and f"line {line}: bounds.grace_s: expected a number" in text, text
+        deploy = fleet.folder / "system.toml"
+        deploy.write_text('build = "true"\n[roles.a]\nrun = "x"\non = "front"\nshare = 2\n'
+                          'serves = ["entry"]\n')
+        code, text = tool("check", str(deploy))
+        assert code == 1 and f"{deploy}:5: roles.a.share: allowed are" in text, text
+        assert "allowed are front, control, directory" in text, text
+        published = fleet.folder / "published.json"
+        published.write_text('{"version": 1,\n"routes": [{"hostname": "h", "prefix": "/a",\n'
+                             '"service": "nowhere"}],\n"services": []}')
+        code, text = tool("check", str(published))
+        assert code == 1 and ":2:" in text and "begin and end with a slash" in text, text
+        assert 'no service "nowhere"' in text, text
+
+
+def tool(*words):
+    done = subprocess.run([f"{BUILD}/banyanringctl", *words], capture_output=True, text=True,
+                          check=False)
+    return done.returncode, done.stdout
+
+
 if __name__ == "__main__":
     globals()[f"test_{sys.argv[1]}"]()
