--- a/tests/fleet/socket_tests.cpp
+++ b/tests/fleet/socket_tests.cpp
@@ -443,6 +443,7 @@
     CPPUNIT_TEST(watch_change_isTaken);
     CPPUNIT_TEST(watch_historyGone_readsAllAgain);
     CPPUNIT_TEST(store_refusesOrBreaks_isTriedAgain);
+    CPPUNIT_TEST(store_refusesAPage_goesOnFromIt);
     CPPUNIT_TEST(store_away_isToldOnceAndRegained);
     CPPUNIT_TEST_SUITE_END();
 
@@ -477,10 +478,12 @@
             this->failures.erase(this->failures.begin());
             if (status == 0) {
                 session->abort();
-            } else {
+                return;
+            }
+            if (status != 200) {
                 session->answer({status, "x", {}, ""});
+                return;
             }
-            return;
         }
         const auto is = [&](const char *part) {
             return request.target.find(part) != std::string::npos;
@@ -556,6 +559,15 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->mirror.all().size());
     }
 
+    auto store_refusesAPage_goesOnFromIt() -> void
+    {
+        this->failures = {200, 429};
+        this->reader->start();
+        CPPUNIT_ASSERT(this->watching(1));
+        const std::size_t pages = 3;
+        CPPUNIT_ASSERT_EQUAL(pages + 2, this->targets.size());
+    }
+
     auto store_away_isToldOnceAndRegained() -> void
     {
         this->failures = {503, 503, 503};
