--- /dev/null
+++ b/tests/fleet/loopback.h
@@ -0,0 +1,41 @@
+/** @file loopback.h Helpers of tests over loopback. */
+#pragma once
+
+#include "banyanring/core/ids_type.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+
+namespace banyanring::test {
+
+constexpr auto Loopback = "127.0.0.1"; ///< Where everything listens.
+
+/** @return A port that nobody listens on. */
+inline auto freePort() -> std::uint16_t
+{
+    namespace asio = boost::asio;
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(
+        context, asio::ip::tcp::endpoint(asio::ip::make_address_v4(Loopback), 0));
+    return acceptor.local_endpoint().port();
+}
+
+/**
+ * Runs the loop until a condition holds, for a few seconds at most.
+ * @param context The loop.
+ * @param condition The condition.
+ * @return Whether it holds.
+ */
+inline auto runUntil(boost::asio::io_context &context, const std::function<bool()> &condition)
+    -> bool
+{
+    const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (!condition() && std::chrono::steady_clock::now() < until) {
+        context.restart();
+        context.run_for(std::chrono::milliseconds(5));
+    }
+    return condition();
+}
+
+} // namespace banyanring::test
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -17,13 +18,24 @@
 BUILD = os.environ["BANYANRING_BUILD"]
 DAEMON = os.path.join(BUILD, "platform", "banyanringd")
 HOST = "shop.example"
+PORT_RANGE = 4  # Ports of a node beside those that it is told.
 HEARTBEAT_S = 0.3  # Interval of the servers' entries.
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def free_block(size=1):
+    """Gives the first of some adjoining ports that are free for TCP and UDP. They lie below the ports that
+    the system gives to outgoing connections, so that none of these can take them meanwhile."""
+    for _ in range(1000):
+        first = random.randrange(10000, 30000)
+        try:
+            for port in range(first, first + size):
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    with socket.socket(type=kind) as probe:
+                        probe.bind(("127.0.0.1", port))
+            return first
+        except OSError:
+            continue
+    raise AssertionError("no free ports")
 
 
 class QuietHandler(http.server.BaseHTTPRequestHandler):
@@ -56,7 +68,7 @@
     def __init__(self):
         self.items, self.events, self.revision = {}, [], 0
         self.changed, self.away = threading.Condition(), False
-        self.port = free_port()
+        self.port = free_block()
         self.server = serve(StoreHandler, self.port, store=self)
 
     def put(self, key, value):
@@ -105,7 +117,7 @@
 
     def __init__(self, store, name, service, zone):
         self.store, self.name, self.service, self.zone = store, name, service, zone
-        self.port, self.runs, self.stopped, self.state = free_port(), [], False, "ready"
+        self.port, self.runs, self.stopped, self.state = free_block(), [], False, "ready"
         self.server = serve(ServerHandler, self.port, backend=self)
         threading.Thread(target=self.beat, daemon=True).start()
 
@@ -160,8 +172,10 @@
 
     def __init__(self, fleet, number):
         self.fleet, self.number, self.process = fleet, number, None
-        self.ports = {name: free_port() for name in ("front", "ready", "control", "directory")}
-        self.range_start = free_port()
+        names = ("front", "ready", "control", "directory")
+        first = free_block(len(names) + PORT_RANGE)
+        self.ports = {name: first + index for index, name in enumerate(names)}
+        self.range_start = first + len(names)
         self.settings = fleet.folder / f"node-{number}.conf"
         self.log = fleet.folder / f"node-{number}.log"
 
@@ -169,7 +183,7 @@
         seeds = ",".join(f"127.0.0.1:{n.ports['control']}" for n in self.fleet.nodes[:3])
         lines = [f"node_name=node-{self.number}", "ip=127.0.0.1", f"zone=z{self.number % 2}",
                  "region=r", "zones.z0=r", "zones.z1=r", f"seeds={seeds}",
-                 f"port_range={self.range_start},{self.range_start + 9}", "bounds.grace_s=8",
+                 f"port_range={self.range_start},{self.range_start + PORT_RANGE - 1}", "bounds.grace_s=8",
                  f"platform.address=127.0.0.1:{self.fleet.store.port}"]
         lines += [f"listen.{name}=127.0.0.1:{port}" for name, port in self.ports.items()]
         self.settings.write_text("\n".join(lines) + "\n")
