The first core's daemon ends without closing nng sockets in order

All is answered by then, so the process flushes its log and exits; the system closes the sockets. Ruled out: the log's writing thread (idle in its queue).

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -24,7 +24,7 @@
 }
 
 /** Runs the daemon with the settings in @p file. */
-auto serve(const std::string &file) -> int
+[[noreturn]] auto serve(const std::string &file) -> void
 {
     const auto settings = banyanring::readSettings(file);
     crossplat::threadpool::initialize_with_threads(static_cast<std::size_t>(settings.httpThreads));
@@ -35,12 +35,15 @@
     try {
         banyanring::Daemon daemon(settings);
         daemon.run(stopAsked);
+        // All is answered by now. Closing the sockets between nodes in order can block for ever
+        // inside nng_close(), so the system closes them.
+        banyanring::flushLog();
+        std::_Exit(0);
     } catch (const banyanring::InvariantError &error) {
         banyanring::logEvent("invariant_broken", {{"error", error.what()}});
         std::cerr << error.what() << "\n" << std::flush;
         std::_Exit(ExitInvariant);
     }
-    return 0;
 }
 
 } // namespace
@@ -74,7 +77,7 @@
             std::cout << file << ": usable\n";
             return 0;
         }
-        return serve(file);
+        serve(file);
     } catch (const cxxopts::exceptions::exception &error) {
         std::cerr << "banyanringd: " << error.what() << "\n";
         return ExitUsage;
