--- a/include/banyanring/fleet/environment_type.h
+++ b/include/banyanring/fleet/environment_type.h
@@ -4,7 +4,9 @@
 
 #include "banyanring/core/ids_type.h"
 
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace banyanring::fleet {
@@ -23,6 +25,13 @@
     }
 };
 
+/**
+ * Reads an address.
+ * @param text "IP:port" with a dotted IPv4.
+ * @return The address; nothing if the text is none.
+ */
+auto parseEndpoint(std::string_view text) -> std::optional<Endpoint>;
+
 /** Fleet-wide bounds that this node keeps its share of. */
 struct FleetBounds
 {
--- a/include/banyanring/fleet/peer_state_type.h
+++ b/include/banyanring/fleet/peer_state_type.h
@@ -26,7 +26,8 @@
     NodePhase phase = NodePhase::Starting; ///< Life.
     std::uint64_t configVersion = 0; ///< Configuration in force there.
     std::uint64_t storeRevision = 0; ///< Revision that its mirror of the store has reached.
-    bool storeReached = false; ///< It reached the store lately.
+    bool storeTried = false; ///< It watches the store, or tries to.
+    bool storeReached = false; ///< It watches the store and reached it lately.
     Duration age{}; ///< Time since it was stated, added up over the hops.
 };
 
--- a/include/banyanring/fleet/published_book.h
+++ b/include/banyanring/fleet/published_book.h
@@ -26,6 +26,14 @@
     bool removed = false;
 };
 
+/** What changed between two revisions, as one node tells it to another. */
+struct PublishedBatch
+{
+    std::uint64_t since = 0; ///< Complete for a mirror that has reached this revision.
+    std::uint64_t until = 0; ///< Revision that it leads to.
+    std::vector<PublishedChange> changes; ///< The last state of each changed item.
+};
+
 /** Mirrors the published items of a store whose revisions only grow. */
 class PublishedBook
 {
@@ -49,6 +57,22 @@
      */
     auto replace(Items newItems, std::uint64_t asOf) -> std::vector<std::string>;
 
+    /**
+     * Collects the present state of items for other nodes.
+     * @param keys Keys of all items that changed since then.
+     * @param since Revision of this mirror before.
+     * @return The batch.
+     */
+    auto batchOf(const std::vector<std::string> &keys, std::uint64_t since) const -> PublishedBatch;
+
+    /**
+     * Takes another node's batch. A mirror that was never filled takes none; one that lacks what
+     * came before the batch takes its changes, but does not count as having reached its end.
+     * @param batch The batch.
+     * @return Keys whose item changed.
+     */
+    auto applyBatch(const PublishedBatch &batch) -> std::vector<std::string>;
+
     /**
      * Finds an item.
      * @param key Its key.
--- a/include/banyanring/gateway/gossip_codec.h
+++ b/include/banyanring/gateway/gossip_codec.h
@@ -24,6 +24,20 @@
  */
 auto decodeGossip(std::string_view bytes) -> std::optional<fleet::GossipMessage>;
 
+/**
+ * Encodes changes of the store.
+ * @param batch The changes.
+ * @return Their bytes, to be sent in one datagram.
+ */
+auto encodeBatch(const fleet::PublishedBatch &batch) -> std::string;
+
+/**
+ * Decodes changes of the store.
+ * @param bytes Received bytes.
+ * @return The changes; nothing if the bytes are none.
+ */
+auto decodeBatch(std::string_view bytes) -> std::optional<fleet::PublishedBatch>;
+
 /**
  * Encodes a mirror of the store.
  * @param mirror The mirror.
--- a/include/banyanring/gateway/http_fetch.h
+++ b/include/banyanring/gateway/http_fetch.h
@@ -38,6 +38,9 @@
     auto get(const std::string &newAddress, const std::string &target, Duration timeout,
              Callback newCallback) -> void;
 
+    /** Gives the present call up; its callback hears nothing. */
+    auto cancel() -> void;
+
     /** @return Whether a call is in progress. */
     auto busy() const -> bool
     {
--- a/include/banyanring/gateway/peer_gossip.h
+++ b/include/banyanring/gateway/peer_gossip.h
@@ -1,12 +1,9 @@
-/** @file peer_gossip.h Gossip between nodes over UDP. */
+/** @file peer_gossip.h Gossip between nodes. */
 #pragma once
 
-#include "banyanring/fleet/environment_type.h"
+#include "banyanring/gateway/peer_socket.h"
 #include "banyanring/gateway/scheduler.h"
 
-#include <array>
-#include <boost/asio/ip/udp.hpp>
-
 namespace banyanring::gateway {
 
 /**
@@ -16,23 +13,13 @@
 class PeerGossip
 {
 public:
-    /** Numbers for the metrics. */
-    struct Traffic
-    {
-        std::uint64_t sent = 0; ///< Messages.
-        std::uint64_t sentBytes = 0;
-        std::uint64_t received = 0; ///< Messages.
-        std::uint64_t garbage = 0; ///< Received datagrams that are no message.
-    };
-
     /**
-     * @param context Runs all its work.
-     * @param environment Addresses of this node.
+     * @param socket Carries the messages; must outlive this object.
      * @param books Where news goes.
      * @param statement Gives this node's own statement, without its sequence.
      */
-    PeerGossip(boost::asio::io_context &context, const fleet::Environment &environment,
-               NodeBooks &books, std::function<fleet::NodeStatement()> statement);
+    PeerGossip(PeerSocket &socket, NodeBooks &books,
+               std::function<fleet::NodeStatement()> statement);
 
     /** Sends one round. */
     auto sendRound() -> void;
@@ -40,30 +27,17 @@
     /** Sums up what peers said of the servers into the server book. */
     auto applyLoads(Instant now) -> void;
 
-    /** @return Numbers for the metrics. */
-    auto traffic() const -> const Traffic &
-    {
-        return this->counts;
-    }
-
 private:
-    static constexpr std::size_t MostBytes = 65536; ///< Longest datagram.
-
-    auto receive() -> void;
     auto take(const fleet::GossipMessage &message) -> void;
-    auto sendTo(const std::string &address, const std::string &bytes) -> void;
     auto compose(bool replyWanted, bool full) -> std::string;
 
+    PeerSocket &socket;
     NodeBooks &books;
     std::function<fleet::NodeStatement()> statement;
-    boost::asio::ip::udp::socket socket;
-    boost::asio::ip::udp::endpoint sender;
-    std::array<char, MostBytes> incoming{};
     std::mt19937_64 random;
     std::uint64_t sequence = 0;
     std::uint64_t rounds = 0;
     std::map<std::string, std::vector<fleet::LoadStatement>> loads; ///< By peer address.
-    Traffic counts;
 };
 
 } // namespace banyanring::gateway
--- /dev/null
+++ b/include/banyanring/gateway/peer_socket.h
@@ -0,0 +1,85 @@
+/** @file peer_socket.h Datagrams between nodes. */
+#pragma once
+
+#include "banyanring/fleet/environment_type.h"
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <map>
+#include <string_view>
+
+namespace banyanring::gateway {
+
+/** What a datagram holds; its first byte. */
+enum class PeerMessage : std::uint8_t {
+    Gossip = 'g', ///< A node's state.
+    Batch = 'b', ///< What changed in the store.
+};
+
+/**
+ * Sends and receives datagrams. Each message replaces or repeats what a lost one said, so none is
+ * acknowledged here.
+ */
+class PeerSocket
+{
+public:
+    /** Numbers for the metrics. */
+    struct Traffic
+    {
+        std::uint64_t sent = 0; ///< Datagrams.
+        std::uint64_t sentBytes = 0;
+        std::uint64_t received = 0; ///< Datagrams.
+        std::uint64_t garbage = 0; ///< Received datagrams that are no message.
+    };
+
+    /** Takes the body of a datagram from an address; says whether it was a message. */
+    using Handler = std::function<bool(std::string_view body, const std::string &from)>;
+
+    /**
+     * @param context Runs all its work.
+     * @param endpoint Where it listens.
+     */
+    PeerSocket(boost::asio::io_context &context, const fleet::Endpoint &endpoint);
+
+    /**
+     * Sets who takes a kind of message.
+     * @param kind The kind.
+     * @param handler Takes it.
+     */
+    auto handle(PeerMessage kind, Handler handler) -> void
+    {
+        this->handlers[kind] = std::move(handler);
+    }
+
+    /**
+     * Sends a message once.
+     * @param address The node's "IP:port".
+     * @param kind The kind of message.
+     * @param body Its bytes.
+     */
+    auto send(const std::string &address, PeerMessage kind, std::string_view body) -> void;
+
+    /** @return Numbers for the metrics. */
+    auto traffic() const -> const Traffic &
+    {
+        return this->counts;
+    }
+
+    static constexpr std::size_t MostBytes = 60000; ///< Longest body that is sent.
+
+private:
+    static constexpr std::size_t LongestDatagram = 65536; ///< More than UDP can carry.
+
+    auto receive() -> void;
+    auto take(std::string_view datagram) -> void;
+
+    boost::asio::ip::udp::socket socket;
+    boost::asio::ip::udp::endpoint sender;
+    std::array<char, LongestDatagram> incoming{};
+    std::map<PeerMessage, Handler> handlers;
+    Traffic counts;
+};
+
+} // namespace banyanring::gateway
--- a/src/fleet/published_book.cpp
+++ b/src/fleet/published_book.cpp
@@ -9,6 +9,9 @@
     std::vector<std::string> changed;
     for (const auto &change : changes) {
         const auto found = this->items.find(change.key);
+        if (change.revision <= this->reached) {
+            continue;
+        }
         if (found != this->items.end() && found->second.revision >= change.revision) {
             continue;
         }
@@ -33,7 +36,11 @@
         return changed;
     }
     for (const auto &[key, item] : this->items) {
-        if (!newItems.contains(key)) {
+        const auto theirs = newItems.find(key);
+        if (item.revision > asOf
+            && (theirs == newItems.end() || theirs->second.revision < item.revision)) {
+            newItems.insert_or_assign(key, item); // A batch told it ahead of the rest.
+        } else if (theirs == newItems.end()) {
             changed.push_back(key);
         }
     }
@@ -48,6 +55,30 @@
     return changed;
 }
 
+auto PublishedBook::batchOf(const std::vector<std::string> &keys, std::uint64_t since) const
+    -> PublishedBatch
+{
+    PublishedBatch batch{since, this->reached, {}};
+    for (const auto &key : keys) {
+        const auto *item = this->find(key);
+        if (item == nullptr) {
+            batch.changes.push_back({key, "", this->reached, true});
+        } else {
+            batch.changes.push_back({key, item->value, item->revision, false});
+        }
+    }
+    return batch;
+}
+
+auto PublishedBook::applyBatch(const PublishedBatch &batch) -> std::vector<std::string>
+{
+    if (this->reached == 0 || batch.until <= this->reached) {
+        return {};
+    }
+    // Behind the batch, what it tells is true all the same, but something before it is missing.
+    return this->apply(batch.changes, batch.since <= this->reached ? batch.until : 0);
+}
+
 auto PublishedBook::find(std::string_view key) const -> const PublishedItem *
 {
     const auto found = this->items.find(key);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,7 +3,6 @@
 
 #include "banyanring/adapters/log_func.h"
 #include "banyanring/fleet/fleet_directory.h"
-#include "banyanring/gateway/gossip_codec.h"
 #include "banyanring/ports/clock_func.h"
 #include "small_doors.h"
 
@@ -24,11 +23,6 @@
 constexpr std::uint64_t SettingsTicks = 40; ///< Ticks between looks at the settings file.
 /** A caller that was given a stale address learns better within it. */
 constexpr Duration DirectoryTtl = milliseconds(1000);
-constexpr Duration FollowInterval = milliseconds(700); ///< Between fetches from peers.
-constexpr Duration BehindPatience = milliseconds(300); ///< The store usually tells sooner.
-constexpr Duration StoreLostPatience = milliseconds(700); ///< One failed call is no outage.
-constexpr Duration PeerFetchTimeout = milliseconds(1000); ///< Peers answer within milliseconds.
-constexpr auto MirrorPath = "/mirror"; ///< Peers fetch the mirror of the store here.
 /** Stopping, counted from the signal: callers have asked for addresses again by then. */
 constexpr Duration CloseIdleAfter = milliseconds(1500);
 constexpr Duration RefuseAfter = milliseconds(3000); ///< Later work might outlive the process.
@@ -46,11 +40,13 @@
 
 Gateway::Gateway(fleet::Environment given, std::function<fleet::Environment()> reload)
     : environment(std::move(given)), reload(std::move(reload)), incarnation(randomNumber()),
-      books(this->environment, bootNow()), published(this->mirror, this->books),
-      pool(this->context), scheduler(this->books, this->pool, bootNow, randomNumber()),
-      gossip(this->context, this->environment, this->books, [this] { return this->statement(); }),
-      store(this->context, this->environment.store.text(), this->mirror, this->storeCallbacks()),
-      peerFetch(this->context), entry(this->context, this->environment.entry, this->entryHandler()),
+      books(this->environment, bootNow()), pool(this->context),
+      scheduler(this->books, this->pool, bootNow, randomNumber()),
+      peerSocket(this->context, this->environment.peers),
+      gossip(this->peerSocket, this->books, [this] { return this->statement(); }),
+      sharing(this->context, this->environment, this->books, this->peerSocket,
+              [this] { this->scheduler.placeAll(); }),
+      entry(this->context, this->environment.entry, this->entryHandler()),
       readiness(this->context, this->environment.readiness,
                 this->smallHandler([this](const CallerRequest &request) {
                     return platform::answerReadiness(request,
@@ -80,7 +76,6 @@
                          {"domain", this->environment.domain},
                          {"incarnation", std::to_string(this->incarnation)}});
     this->awaitSignals();
-    this->store.start();
     this->gossip.sendRound();
     this->scheduleTick();
     this->context.run();
@@ -123,10 +118,10 @@
 
 auto Gateway::answerPeer(const CallerRequest &request) -> WholeAnswer
 {
-    if (request.path != MirrorPath || !this->published.loaded()) {
+    if (request.path != MirrorSharing::Path || !this->sharing.loaded()) {
         return {404, "Not Found", {}, ""};
     }
-    return {Ok, "OK", {}, encodeMirror(this->mirror)};
+    return {Ok, "OK", {}, this->sharing.encoded()};
 }
 
 auto Gateway::answerOperator(const CallerRequest &request) -> WholeAnswer
@@ -154,31 +149,10 @@
     own.incarnation = this->incarnation;
     own.phase = this->phase;
     own.configVersion = this->books.config.current() ? this->books.config.current()->version : 0;
-    own.storeRevision = this->mirror.revision();
-    own.storeReached = this->store.reached();
+    this->sharing.describe(own);
     return own;
 }
 
-auto Gateway::storeCallbacks() -> platform::StoreReader::Callbacks
-{
-    platform::StoreReader::Callbacks callbacks;
-    callbacks.onChanged = [this](const std::vector<std::string> &keys) {
-        this->published.take(keys, bootNow());
-        if (!keys.empty()) {
-            this->scheduler.placeAll();
-        }
-    };
-    callbacks.onReached = [this](bool reached, const std::string &why) {
-        const auto now = bootNow();
-        this->published.noteStore(reached, now);
-        this->storeLostAt = reached ? Instant(0) : now;
-        logEvent(
-            reached ? "store_regained" : "store_lost",
-            {{"why", why}, {"store_revision", static_cast<std::int64_t>(this->mirror.revision())}});
-    };
-    return callbacks;
-}
-
 auto Gateway::scheduleTick() -> void
 {
     this->timer.expires_after(TickInterval);
@@ -194,12 +168,13 @@
     const auto now = bootNow();
     ++this->ticks;
     if (this->phase == fleet::NodePhase::Starting && this->books.config.current()
-        && this->published.loaded()) {
+        && this->sharing.loaded()) {
         this->phase = fleet::NodePhase::Ready;
         logEvent("ready",
                  {{"config", static_cast<std::int64_t>(this->books.config.current()->version)}});
     }
     this->pool.tick(now);
+    this->sharing.tick(now);
     this->gossip.applyLoads(now);
     this->scheduler.tick();
     if (this->ticks % GossipTicks == 0) {
@@ -253,7 +228,6 @@
                   {"fleet_size", static_cast<std::int64_t>(this->books.members.fleetSize(now))}});
         this->partBefore = part;
     }
-    this->followPeers(now);
 }
 
 auto Gateway::shareConnections(Instant now) -> void
@@ -268,60 +242,6 @@
     }
 }
 
-auto Gateway::followPeers(Instant now) -> void
-{
-    const auto own = this->statement();
-    const bool storeLost =
-        !own.storeReached
-        && (this->storeLostAt == Instant(0) || now - this->storeLostAt > StoreLostPatience);
-    const fleet::Member *newest = nullptr;
-    bool configBehind = false;
-    for (const auto *member : this->books.members.live(now)) {
-        const auto &theirs = member->statement;
-        if (theirs.configVersion > own.configVersion) {
-            configBehind = true;
-        }
-        if (theirs.storeRevision > own.storeRevision
-            && (newest == nullptr || theirs.storeRevision > newest->statement.storeRevision)) {
-            newest = member;
-        }
-    }
-    if (!configBehind) {
-        this->behindSince = Instant(0);
-    } else if (this->behindSince == Instant(0)) {
-        this->behindSince = now;
-    }
-    const bool behind = configBehind && now - this->behindSince > BehindPatience;
-    if (newest == nullptr || (!behind && !storeLost) || now < this->nextFollowAt
-        || this->peerFetch.busy()) {
-        return;
-    }
-    this->nextFollowAt = now + FollowInterval;
-    const auto peer = newest->statement.peerAddress;
-    this->peerFetch.get(
-        peer, MirrorPath, PeerFetchTimeout,
-        [this, peer](const FetchResult &result) { this->takePeerMirror(peer, result); });
-}
-
-auto Gateway::takePeerMirror(const std::string &peer, const FetchResult &result) -> void
-{
-    auto theirs = result.status == Ok ? decodeMirror(result.body) : std::nullopt;
-    if (!theirs) {
-        logEvent(
-            "peer_fetch_failed",
-            {{"peer", peer}, {"status", std::int64_t{result.status}}, {"why", result.failure}});
-        return;
-    }
-    const auto before = this->mirror.revision();
-    const auto changed = this->mirror.replace(std::move(theirs->items), theirs->revision);
-    logEvent("mirror_from_peer", {{"peer", peer},
-                                  {"revision_before", static_cast<std::int64_t>(before)},
-                                  {"revision", static_cast<std::int64_t>(theirs->revision)},
-                                  {"changed", static_cast<std::int64_t>(changed.size())}});
-    this->published.take(changed, bootNow());
-    this->scheduler.placeAll();
-}
-
 auto Gateway::awaitSignals() -> void
 {
     this->signals.async_wait([this](const boost::system::error_code &error, int signal) {
@@ -349,7 +269,7 @@
         this->environment.seeds = fresh.seeds;
         this->environment.store = fresh.store;
         this->books.members.setSeeds(fresh.seeds);
-        this->store.setAddress(fresh.store.text());
+        this->sharing.setStoreAddress(fresh.store.text());
         logEvent("settings_reloaded", {{"store", fresh.store.text()}, {"changed", changed}});
     } catch (const std::exception &error) {
         if (asked || this->settingsReadable) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,10 +2,9 @@
 #pragma once
 
 #include "banyanring/gateway/door.h"
+#include "banyanring/gateway/mirror_sharing.h"
 #include "banyanring/gateway/peer_gossip.h"
 #include "banyanring/gateway/server_pool.h"
-#include "published_state.h"
-#include "store_reader.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -34,13 +33,10 @@
     auto answerPeer(const CallerRequest &request) -> WholeAnswer;
     auto answerOperator(const CallerRequest &request) -> WholeAnswer;
     auto statement() const -> fleet::NodeStatement;
-    auto storeCallbacks() -> platform::StoreReader::Callbacks;
     auto scheduleTick() -> void;
     auto tick() -> void;
     auto slowTick(Instant now) -> void;
     auto shareConnections(Instant now) -> void;
-    auto followPeers(Instant now) -> void;
-    auto takePeerMirror(const std::string &peer, const FetchResult &result) -> void;
     auto awaitSignals() -> void;
     auto reloadSettings(bool asked) -> void;
     auto beginStop() -> void;
@@ -54,13 +50,11 @@
     boost::asio::io_context context{1};
     std::uint64_t incarnation;
     NodeBooks books;
-    fleet::PublishedBook mirror;
-    platform::PublishedState published;
     ServerPool pool;
     Scheduler scheduler;
+    PeerSocket peerSocket;
     PeerGossip gossip;
-    platform::StoreReader store;
-    HttpFetch peerFetch;
+    MirrorSharing sharing;
     Door entry;
     Door readiness;
     Door directory;
@@ -72,9 +66,6 @@
     bool settingsReadable = true; ///< The last look at the settings file went well.
     fleet::NodePhase phase = fleet::NodePhase::Starting;
     std::optional<Instant> stopAsked;
-    Instant behindSince{}; ///< Since when a peer has a newer configuration; zero if none has.
-    Instant storeLostAt{}; ///< Since when the store does not answer; zero if it does.
-    Instant nextFollowAt{};
     double partBefore = 0; ///< Part of the fleet in contact, to log its change.
     std::map<std::string, bool> aliveBefore; ///< Members, to log their loss.
 };
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -58,8 +58,8 @@
         {"phase", static_cast<int>(this->phase)},
         {"config", this->books.config.current() ? this->books.config.current()->version : 0},
         {"domains_out", this->books.config.outDomains()},
-        {"store_revision", this->mirror.revision()},
-        {"store_reached", this->store.reached()},
+        {"store_revision", this->statement().storeRevision},
+        {"store_reached", this->statement().storeReached},
         {"fleet_size", this->books.members.fleetSize(now)},
         {"reachable_part", this->books.members.reachablePart(now)},
         {"open_requests", this->scheduler.openRuns()},
@@ -99,13 +99,13 @@
     gauge("reachable_part", this->books.members.reachablePart(now));
     gauge("config_version",
           this->books.config.current() ? this->books.config.current()->version : 0);
-    gauge("store_reached", this->store.reached() ? 1 : 0);
-    gauge("store_revision", this->mirror.revision());
-    gauge("store_calls", this->store.calls());
-    gauge("gossip_sent", this->gossip.traffic().sent);
-    gauge("gossip_sent_bytes", this->gossip.traffic().sentBytes);
-    gauge("gossip_received", this->gossip.traffic().received);
-    gauge("gossip_garbage", this->gossip.traffic().garbage);
+    gauge("store_reached", this->statement().storeReached ? 1 : 0);
+    gauge("store_revision", this->statement().storeRevision);
+    gauge("store_calls", this->sharing.storeCalls());
+    gauge("gossip_sent", this->peerSocket.traffic().sent);
+    gauge("gossip_sent_bytes", this->peerSocket.traffic().sentBytes);
+    gauge("gossip_received", this->peerSocket.traffic().received);
+    gauge("gossip_garbage", this->peerSocket.traffic().garbage);
     gauge("idle_server_connections", this->pool.idleConnections());
     out << "# TYPE banyanring_server_requests gauge\n";
     for (const auto &[id, server] : this->books.servers.all()) {
--- a/src/gateway/gossip_codec.cpp
+++ b/src/gateway/gossip_codec.cpp
@@ -11,7 +11,7 @@
 constexpr int WireVersion = 1; ///< Grows with each change that older nodes cannot read.
 
 using Statement = std::tuple<std::string, std::string, std::string, std::uint64_t, std::uint64_t,
-                             std::uint8_t, std::uint64_t, std::uint64_t, bool, std::int64_t>;
+                             std::uint8_t, std::uint64_t, std::uint64_t, bool, bool, std::int64_t>;
 using Load = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>;
 using Pace = std::tuple<std::uint32_t, float, float, float>;
 using Spend = std::tuple<std::uint32_t, double, double, double>;
@@ -19,6 +19,8 @@
 using Message = std::tuple<int, Statement, std::vector<Statement>, std::vector<Load>,
                            std::vector<Spend>, std::vector<Suspect>, bool, std::vector<Pace>>;
 using Item = std::tuple<std::string, std::string, std::uint64_t>;
+using Change = std::tuple<std::string, std::string, std::uint64_t, bool>;
+using Batch = std::tuple<int, std::uint64_t, std::uint64_t, std::vector<Change>>;
 using Mirror = std::tuple<int, std::uint64_t, std::vector<Item>>;
 
 /** @return A statement as it is sent. */
@@ -28,7 +30,8 @@
             statement.domain,        statement.incarnation,
             statement.sequence,      static_cast<std::uint8_t>(statement.phase),
             statement.configVersion, statement.storeRevision,
-            statement.storeReached,  statement.age.count()};
+            statement.storeTried,    statement.storeReached,
+            statement.age.count()};
 }
 
 /** @return A statement as it was received. */
@@ -39,7 +42,7 @@
     std::int64_t age = 0;
     std::tie(statement.peerAddress, statement.entryAddress, statement.domain, statement.incarnation,
              statement.sequence, phase, statement.configVersion, statement.storeRevision,
-             statement.storeReached, age) = sent;
+             statement.storeTried, statement.storeReached, age) = sent;
     statement.phase = static_cast<fleet::NodePhase>(phase);
     statement.age = Duration(std::max<std::int64_t>(0, age));
     return statement;
@@ -120,6 +123,28 @@
     return message;
 }
 
+auto encodeBatch(const fleet::PublishedBatch &batch) -> std::string
+{
+    Batch sent{WireVersion, batch.since, batch.until, {}};
+    for (const auto &change : batch.changes) {
+        std::get<3>(sent).emplace_back(change.key, change.value, change.revision, change.removed);
+    }
+    return packed(sent);
+}
+
+auto decodeBatch(std::string_view bytes) -> std::optional<fleet::PublishedBatch>
+{
+    const auto sent = unpackAs<Batch>(bytes);
+    if (!sent || std::get<0>(*sent) != WireVersion) {
+        return std::nullopt;
+    }
+    fleet::PublishedBatch batch{std::get<1>(*sent), std::get<2>(*sent), {}};
+    for (const auto &[key, value, revision, removed] : std::get<3>(*sent)) {
+        batch.changes.push_back({key, value, revision, removed});
+    }
+    return batch;
+}
+
 auto encodeMirror(const fleet::PublishedBook &mirror) -> std::string
 {
     Mirror sent{WireVersion, mirror.revision(), {}};
--- a/src/gateway/http_fetch.cpp
+++ b/src/gateway/http_fetch.cpp
@@ -39,6 +39,16 @@
     this->connection->open(newAddress, this);
 }
 
+auto HttpFetch::cancel() -> void
+{
+    if (this->callback) {
+        ++this->call;
+        this->timer.cancel();
+        this->callback = nullptr;
+        this->connection->close();
+    }
+}
+
 auto HttpFetch::onOpen() -> void
 {
     this->connection->send(std::move(this->request));
--- a/src/gateway/outbound_connection.cpp
+++ b/src/gateway/outbound_connection.cpp
@@ -1,6 +1,8 @@
 /** @file outbound_connection.cpp A client connection over HTTP/1.1. */
 #include "banyanring/gateway/outbound_connection.h"
 
+#include "banyanring/adapters/log_func.h"
+#include "banyanring/fleet/environment_type.h"
 #include "socket_options.h"
 
 #include <boost/asio/buffer.hpp>
@@ -28,13 +30,14 @@
     this->listener = newListener;
     this->awaiting = true;
     this->resetParser();
-    const auto colon = address.rfind(':');
-    error_code error;
-    const auto ip = asio::ip::make_address_v4(address.substr(0, colon), error);
-    const auto port =
-        static_cast<std::uint16_t>(std::strtoul(address.c_str() + colon + 1, nullptr, 10));
-    const asio::ip::tcp::endpoint endpoint(ip, port);
     auto self = this->shared_from_this();
+    const auto parsed = fleet::parseEndpoint(address);
+    if (!parsed) {
+        logEvent("address_malformed", {{"address", address}});
+        asio::post(this->socket.get_executor(), [self] { self->fail(LinkFailure::NotConnected); });
+        return;
+    }
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address_v4(parsed->ip), parsed->port);
     this->socket.async_connect(endpoint, [self](const error_code &failure) {
         if (self->closed) {
             return;
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -9,58 +9,25 @@
 
 namespace {
 
-namespace asio = boost::asio;
-using asio::ip::udp;
-
 /** Everyone in a small fleet; keeps the bytes of a large one bounded. */
 constexpr std::size_t FanOut = 10;
 /** Rounds between messages with what changes slowly: others' statements, paces, suspects. */
 constexpr std::uint64_t FullRounds = 5;
 constexpr std::size_t RelayedStatements = 8; ///< A sample; news spreads in a few rounds.
 
-/** @return A parsed "IP:port". */
-auto endpointOf(const std::string &address) -> udp::endpoint
-{
-    const auto colon = address.rfind(':');
-    boost::system::error_code error;
-    const auto ip = asio::ip::make_address_v4(address.substr(0, colon), error);
-    const auto port = static_cast<std::uint16_t>(
-        std::strtoul(address.c_str() + std::min(colon + 1, address.size()), nullptr, 10));
-    return {ip, port};
-}
-
 } // namespace
 
-PeerGossip::PeerGossip(asio::io_context &context, const fleet::Environment &environment,
-                       NodeBooks &books, std::function<fleet::NodeStatement()> statement)
-    : books(books), statement(std::move(statement)),
-      socket(context, endpointOf(environment.peers.text())), random(std::random_device{}())
-{
-    this->socket.non_blocking(true);
-    this->receive();
-}
-
-auto PeerGossip::receive() -> void
+PeerGossip::PeerGossip(PeerSocket &socket, NodeBooks &books,
+                       std::function<fleet::NodeStatement()> statement)
+    : socket(socket), books(books), statement(std::move(statement)), random(std::random_device{}())
 {
-    this->socket.async_receive_from(
-        asio::buffer(this->incoming), this->sender,
-        [this](const boost::system::error_code &error, std::size_t count) {
-            if (error == asio::error::operation_aborted) {
-                return;
-            }
-            if (!error) {
-                const auto message = decodeGossip({this->incoming.data(), count});
-                if (message) {
-                    ++this->counts.received;
-                    this->take(*message);
-                } else {
-                    ++this->counts.garbage;
-                    logEvent("gossip_garbage", {{"from", this->sender.address().to_string()},
-                                                {"bytes", static_cast<std::int64_t>(count)}});
-                }
-            }
-            this->receive();
-        });
+    socket.handle(PeerMessage::Gossip, [this](std::string_view body, const std::string &) {
+        const auto message = decodeGossip(body);
+        if (message) {
+            this->take(*message);
+        }
+        return message.has_value();
+    });
 }
 
 auto PeerGossip::take(const fleet::GossipMessage &message) -> void
@@ -89,7 +56,8 @@
     this->books.quotas.takePeer(message.sender.incarnation, message.spends, now);
     this->books.suspects.takePeer(message.suspects, now);
     if (message.replyWanted) {
-        this->sendTo(message.sender.peerAddress, this->compose(false, true));
+        this->socket.send(message.sender.peerAddress, PeerMessage::Gossip,
+                          this->compose(false, true));
     }
 }
 
@@ -151,19 +119,8 @@
     const bool alone = this->books.members.live(now).empty();
     const auto bytes = this->compose(alone, alone || this->rounds++ % FullRounds == 0);
     for (const auto &target : targets) {
-        this->sendTo(target, bytes);
-    }
-}
-
-auto PeerGossip::sendTo(const std::string &address, const std::string &bytes) -> void
-{
-    boost::system::error_code error;
-    this->socket.send_to(asio::buffer(bytes), endpointOf(address), 0, error);
-    if (!error) {
-        ++this->counts.sent;
-        this->counts.sentBytes += bytes.size();
+        this->socket.send(target, PeerMessage::Gossip, bytes);
     }
-    // A refused or full send is a lost datagram; the next round makes up for it.
 }
 
 } // namespace banyanring::gateway
--- a/tests/fleet/platform_tests.cpp
+++ b/tests/fleet/platform_tests.cpp
@@ -203,6 +203,7 @@
     CPPUNIT_TEST(addresses_none_sendsToAnotherNode);
     CPPUNIT_TEST(gossip_roundTrip_keepsEverything);
     CPPUNIT_TEST(gossip_garbage_isNothing);
+    CPPUNIT_TEST(batch_roundTrip_keepsEverything);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -330,11 +331,23 @@
         CPPUNIT_ASSERT(back->replyWanted);
     }
 
+    auto batch_roundTrip_keepsEverything() -> void
+    {
+        const auto back = gateway::decodeBatch(
+            gateway::encodeBatch({5, 9, {{"a", "1", 7, false}, {"b", "", 9, true}}}));
+        CPPUNIT_ASSERT(back.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, back->since);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, back->until);
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), back->changes.at(0).value);
+        CPPUNIT_ASSERT(back->changes.at(1).removed);
+    }
+
     auto gossip_garbage_isNothing() -> void
     {
         CPPUNIT_ASSERT(!gateway::decodeGossip("").has_value());
         CPPUNIT_ASSERT(!gateway::decodeGossip("garbage").has_value());
         CPPUNIT_ASSERT(!gateway::decodeMirror("\x93\x01").has_value());
+        CPPUNIT_ASSERT(!gateway::decodeBatch("garbage").has_value());
     }
 };
 
--- a/tests/fleet/store_reader_tests.cpp
+++ b/tests/fleet/store_reader_tests.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(store_refusesOrBreaks_isTriedAgain);
     CPPUNIT_TEST(store_refusesAPage_goesOnFromIt);
     CPPUNIT_TEST(store_away_isToldOnceAndRegained);
+    CPPUNIT_TEST(reader_stopped_callsNoMoreAndGoesOnWhereItWas);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -155,6 +156,21 @@
         CPPUNIT_ASSERT_EQUAL(1, this->regained);
     }
 
+    auto reader_stopped_callsNoMoreAndGoesOnWhereItWas() -> void
+    {
+        this->reader->start();
+        CPPUNIT_ASSERT(this->watching(1));
+        this->reader->stop();
+        const auto calls = this->targets.size();
+        this->context.restart();
+        this->context.run_for(std::chrono::milliseconds(700));
+        CPPUNIT_ASSERT_EQUAL(calls, this->targets.size());
+        CPPUNIT_ASSERT(!this->reader->reached());
+        this->reader->start();
+        CPPUNIT_ASSERT(this->watching(2));
+        CPPUNIT_ASSERT_EQUAL(calls + 1, this->targets.size());
+    }
+
 private:
     boost::asio::io_context context;
     std::unique_ptr<Door> store;
