--- a/include/banyanring/fleet/fleet_members.h
+++ b/include/banyanring/fleet/fleet_members.h
@@ -86,6 +86,17 @@
      */
     auto ownsCold(std::uint32_t server, std::size_t owners, Instant now) const -> bool;
 
+    /**
+     * Chooses the nodes that keep something for all: the heaviest by hash among those in contact
+     * that serve, this one included.
+     * @param key Hash of what is kept.
+     * @param count How many nodes.
+     * @param now The present.
+     * @return Their peer addresses, the heaviest first.
+     */
+    auto keepers(std::uint32_t key, std::size_t count, Instant now) const
+        -> std::vector<std::string>;
+
     /**
      * Chooses the nodes for one round of gossip, and now and then a seed that is not known.
      * @param fanOut Most nodes.
--- a/include/banyanring/fleet/peer_state_type.h
+++ b/include/banyanring/fleet/peer_state_type.h
@@ -53,8 +53,35 @@
 {
     std::uint32_t organisation = 0; ///< nameId of the organisation.
     double units = 0; ///< Units, since the incarnation began.
+    double window = 0; ///< Units of the last window.
     double fleetRecent = 0; ///< Units of the last window by all nodes; 0 if the node is too young.
     double askedPerSecond = 0; ///< Units asked for there of late, admitted or not.
+    double pending = 0; ///< Units of requests that are asked about and not yet admitted.
+};
+
+/** What others have admitted of an organisation, as a node that keeps its account knows it. */
+struct SpendTotal
+{
+    std::uint32_t organisation = 0; ///< nameId of the organisation.
+    double window = 0; ///< Units of the last window.
+    double recent = 0; ///< Units of its newer half.
+    double askedPerSecond = 0; ///< Units asked for of late, admitted or not.
+    bool complete = false; ///< The node has kept account for a whole window.
+};
+
+/** A node's report to another that keeps an organisation's account. */
+struct SpendReport
+{
+    std::uint64_t incarnation = 0; ///< Of the reporting node.
+    std::uint64_t question = 0; ///< Number of a question that awaits the total; 0 for none.
+    SpendStatement spend; ///< What it has admitted.
+};
+
+/** The answer to a question in a report. */
+struct SpendAnswer
+{
+    std::uint64_t question = 0; ///< Its number.
+    SpendTotal total; ///< What all but the asker have admitted.
 };
 
 /** A request that was running when backend servers crashed. */
--- a/include/banyanring/gateway/gossip_codec.h
+++ b/include/banyanring/gateway/gossip_codec.h
@@ -24,6 +24,34 @@
  */
 auto decodeGossip(std::string_view bytes) -> std::optional<fleet::GossipMessage>;
 
+/**
+ * Encodes a report to a node that keeps an organisation's account.
+ * @param report The report.
+ * @return Its bytes.
+ */
+auto encodeReport(const fleet::SpendReport &report) -> std::string;
+
+/**
+ * Decodes a report.
+ * @param bytes Received bytes.
+ * @return The report; nothing if the bytes are none.
+ */
+auto decodeReport(std::string_view bytes) -> std::optional<fleet::SpendReport>;
+
+/**
+ * Encodes the answer to a report's question.
+ * @param answer The answer.
+ * @return Its bytes.
+ */
+auto encodeAnswer(const fleet::SpendAnswer &answer) -> std::string;
+
+/**
+ * Decodes the answer to a report's question.
+ * @param bytes Received bytes.
+ * @return The answer; nothing if the bytes are none.
+ */
+auto decodeAnswer(std::string_view bytes) -> std::optional<fleet::SpendAnswer>;
+
 /**
  * Encodes changes of the store.
  * @param batch The changes.
--- a/include/banyanring/gateway/peer_gossip.h
+++ b/include/banyanring/gateway/peer_gossip.h
@@ -21,9 +21,14 @@
     PeerGossip(PeerSocket &socket, NodeBooks &books,
                std::function<fleet::NodeStatement()> statement);
 
+    static constexpr Duration RoundInterval = std::chrono::milliseconds(100); ///< Between rounds.
+
     /** Sends one round. */
     auto sendRound() -> void;
 
+    /** @return Time in which gossip of every node in contact is heard, as a rule. */
+    auto lag(Instant now) const -> Duration;
+
     /** Sums up what peers said of the servers into the server book. */
     auto applyLoads(Instant now) -> void;
 
--- a/include/banyanring/gateway/peer_socket.h
+++ b/include/banyanring/gateway/peer_socket.h
@@ -16,6 +16,8 @@
 enum class PeerMessage : std::uint8_t {
     Gossip = 'g', ///< A node's state.
     Batch = 'b', ///< What changed in the store.
+    Report = 'r', ///< What a node has admitted of an organisation.
+    Total = 't', ///< What the others have, as the answer.
 };
 
 /**
--- a/include/banyanring/gateway/request_run.h
+++ b/include/banyanring/gateway/request_run.h
@@ -44,6 +44,9 @@
     /** Checks the request and queues it, or refuses it. */
     auto begin() -> void;
 
+    /** Other nodes were asked what they know; goes on with what is known now. */
+    auto advised() -> void;
+
     /**
      * Tries to send it to a server.
      * @return Whether it was sent, or ended.
@@ -76,6 +79,8 @@
 
 private:
     auto authorise() -> bool;
+    auto admit() -> void;
+    auto quotaUnits() const -> double;
     auto chargeQuota() -> bool;
     auto chooseService() -> void;
     auto enqueue(Duration patience) -> void;
@@ -135,6 +140,7 @@
     std::uint32_t sends = 0; ///< Dispatches, whatever became of them.
     std::uint32_t unconnected = 0; ///< Connections that could not be opened.
     std::set<std::string> tried; ///< Servers that are not tried again.
+    bool adviceAwaited = false; ///< The keepers of its organisation's account were asked.
     bool waiting = false;
     bool isDone = false;
     std::vector<RequestStep> steps;
--- a/include/banyanring/gateway/scheduler.h
+++ b/include/banyanring/gateway/scheduler.h
@@ -7,6 +7,7 @@
 #include "banyanring/fleet/fleet_members.h"
 #include "banyanring/fleet/limit_shares.h"
 #include "banyanring/fleet/placement.h"
+#include "banyanring/fleet/quota_ledger.h"
 #include "banyanring/fleet/server_book.h"
 #include "banyanring/gateway/request_metrics.h"
 #include "banyanring/gateway/scheduler_ports.h"
@@ -79,6 +80,21 @@
      */
     auto accept(CallerPortPtr caller, CallerRequest request) -> std::uint64_t;
 
+    /**
+     * Sets who asks other nodes; without one, this node decides alone.
+     * @param port Asks them; must outlive this object.
+     */
+    auto setAdvice(AdvicePort &port) -> void
+    {
+        this->advicePort = &port;
+    }
+
+    /**
+     * Notes that other nodes have answered a question, or are not going to.
+     * @param run The run that waits for it.
+     */
+    auto advised(std::uint64_t run) -> void;
+
     /**
      * Notes that a caller has left.
      * @param run The run of its request.
@@ -141,6 +157,7 @@
 
     NodeBooks &books;
     ServerPort &serverPort;
+    AdvicePort *advicePort = nullptr;
     std::function<Instant()> clock;
     std::mt19937_64 random;
     std::uint32_t nodeHash; ///< Tells this node's placements from others'.
--- a/include/banyanring/gateway/scheduler_ports.h
+++ b/include/banyanring/gateway/scheduler_ports.h
@@ -87,6 +87,23 @@
     virtual auto cancel() -> void = 0;
 };
 
+/** Asks other nodes what they know before a decision. */
+class AdvicePort
+{
+public:
+    virtual ~AdvicePort() = default;
+
+    /**
+     * Reports an organisation's request to the nodes that keep its account.
+     * @param run Number of the request's run; Scheduler::advised() is called with it.
+     * @param organisation Its organisation.
+     * @param units Its units.
+     * @return Whether their answer is to be awaited.
+     */
+    virtual auto askSpent(std::uint64_t run, const fleet::OrganisationRule &organisation,
+                          double units) -> bool = 0;
+};
+
 /** Sends requests to servers. */
 class ServerPort
 {
--- a/src/fleet/fleet_members.cpp
+++ b/src/fleet/fleet_members.cpp
@@ -19,6 +19,12 @@
 constexpr std::size_t YoungFleetSize = 8; ///< The usual number of nodes of a small installation.
 constexpr Duration SeedInterval = milliseconds(500); ///< Between messages to an unknown seed.
 
+/** @return A node's weight for a key; the heaviest nodes own what the key names. */
+auto weightOf(std::uint32_t key, std::string_view address) -> std::uint64_t
+{
+    return mix64((static_cast<std::uint64_t>(key) << 32U) ^ nameId(address));
+}
+
 } // namespace
 
 FleetMembers::FleetMembers(std::string self, std::vector<std::string> seeds, Instant now)
@@ -76,17 +82,34 @@
     if (now - this->startedAt < YoungFor) {
         return false;
     }
-    const auto weight = [server](const std::string &address) {
-        return mix64((static_cast<std::uint64_t>(server) << 32U) ^ nameId(address));
-    };
-    const auto ownWeight = weight(this->self);
+    const auto ownWeight = weightOf(server, this->self);
     std::size_t heavier = 0;
     for (const auto &[address, member] : this->members) {
-        heavier += weight(address) > ownWeight ? 1 : 0;
+        heavier += weightOf(server, address) > ownWeight ? 1 : 0;
     }
     return heavier < owners;
 }
 
+auto FleetMembers::keepers(std::uint32_t key, std::size_t count, Instant now) const
+    -> std::vector<std::string>
+{
+    using Weighted = std::pair<std::uint64_t, std::string_view>;
+    std::vector<Weighted> candidates{{weightOf(key, this->self), this->self}};
+    for (const auto &[address, member] : this->members) {
+        if (member.statement.phase == NodePhase::Ready && alive(member, now)) {
+            candidates.emplace_back(weightOf(key, address), address);
+        }
+    }
+    const auto chosen = std::min(count, candidates.size());
+    std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(chosen),
+                      candidates.end(), std::greater<>());
+    std::vector<std::string> keepers;
+    for (std::size_t place = 0; place < chosen; ++place) {
+        keepers.emplace_back(candidates[place].second);
+    }
+    return keepers;
+}
+
 auto FleetMembers::gossipTargets(std::size_t fanOut, std::mt19937_64 &random, Instant now)
     -> std::vector<std::string>
 {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -16,7 +16,7 @@
 using std::chrono::milliseconds;
 
 constexpr Duration TickInterval = milliseconds(50); ///< Granularity of all time limits.
-constexpr std::uint64_t GossipTicks = 2; ///< Ticks between rounds of gossip.
+constexpr std::uint64_t GossipTicks = PeerGossip::RoundInterval / TickInterval;
 constexpr std::uint64_t SlowTicks = 5; ///< Ticks between checks of sessions and members.
 /** Half of a server's connections may be idle; the rest is for running requests and probes. */
 constexpr std::size_t KeptConnectionsPart = 2;
@@ -46,6 +46,8 @@
       gossip(this->peerSocket, this->books, [this] { return this->statement(); }),
       sharing(this->context, this->environment, this->books, this->peerSocket,
               [this] { this->scheduler.placeAll(); }),
+      accounts(this->peerSocket, this->books, this->environment.peers.text(), this->incarnation,
+               [this](std::uint64_t run) { this->scheduler.advised(run); }),
       entry(this->context, this->environment.entry, this->entryHandler()),
       readiness(this->context, this->environment.readiness,
                 this->smallHandler([this](const CallerRequest &request) {
@@ -76,6 +78,7 @@
                          {"domain", this->environment.domain},
                          {"incarnation", std::to_string(this->incarnation)}});
     this->awaitSignals();
+    this->scheduler.setAdvice(this->accounts);
     this->gossip.sendRound();
     this->scheduleTick();
     this->context.run();
@@ -175,6 +178,7 @@
     }
     this->pool.tick(now);
     this->sharing.tick(now);
+    this->accounts.tick(now);
     this->gossip.applyLoads(now);
     this->scheduler.tick();
     if (this->ticks % GossipTicks == 0) {
@@ -207,6 +211,11 @@
     this->shareConnections(now);
     this->books.suspects.expire(now);
     this->books.quotas.expire(now);
+    std::set<std::uint64_t> contact;
+    for (const auto *member : this->books.members.live(now)) {
+        contact.insert(member->statement.incarnation);
+    }
+    this->books.quotas.noteContact(std::move(contact), this->gossip.lag(now));
     this->books.members.expire(now);
     for (const auto &[address, member] : this->books.members.all()) {
         const bool alive = fleet::FleetMembers::alive(member, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,6 +1,7 @@
 /** @file gateway.h One node: its doors, its books and its life. */
 #pragma once
 
+#include "banyanring/gateway/account_keeping.h"
 #include "banyanring/gateway/door.h"
 #include "banyanring/gateway/mirror_sharing.h"
 #include "banyanring/gateway/peer_gossip.h"
@@ -55,6 +56,7 @@
     PeerSocket peerSocket;
     PeerGossip gossip;
     MirrorSharing sharing;
+    AccountKeeping accounts;
     Door entry;
     Door readiness;
     Door directory;
--- a/src/gateway/gossip_codec.cpp
+++ b/src/gateway/gossip_codec.cpp
@@ -14,7 +14,9 @@
                              std::uint8_t, std::uint64_t, std::uint64_t, bool, bool, std::int64_t>;
 using Load = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>;
 using Pace = std::tuple<std::uint32_t, float, float, float>;
-using Spend = std::tuple<std::uint32_t, double, double, double>;
+using Spend = std::tuple<std::uint32_t, double, double, double, double, double>;
+using Report = std::tuple<int, std::uint64_t, std::uint64_t, Spend>;
+using Answer = std::tuple<int, std::uint64_t, std::uint32_t, double, double, double, bool>;
 using Suspect = std::tuple<std::uint64_t, std::vector<std::uint32_t>>;
 using Message = std::tuple<int, Statement, std::vector<Statement>, std::vector<Load>,
                            std::vector<Spend>, std::vector<Suspect>, bool, std::vector<Pace>>;
@@ -48,6 +50,13 @@
     return statement;
 }
 
+/** @return A node's admissions as they are sent. */
+auto pack(const fleet::SpendStatement &spend) -> Spend
+{
+    return {spend.organisation, spend.units,          spend.window,
+            spend.fleetRecent,  spend.askedPerSecond, spend.pending};
+}
+
 /** @return The unpacked value; nothing if the bytes do not hold one. */
 template <typename Value> auto unpackAs(std::string_view bytes) -> std::optional<Value>
 {
@@ -86,8 +95,7 @@
                                        pace.outputMsPerToken);
     }
     for (const auto &spend : message.spends) {
-        std::get<4>(sent).emplace_back(spend.organisation, spend.units, spend.fleetRecent,
-                                       spend.askedPerSecond);
+        std::get<4>(sent).push_back(pack(spend));
     }
     for (const auto &suspect : message.suspects) {
         std::get<5>(sent).emplace_back(suspect.fingerprint, suspect.servers);
@@ -113,8 +121,8 @@
     for (const auto &[server, base, promptPace, outputPace] : std::get<7>(*sent)) {
         message.paces.push_back({server, base, promptPace, outputPace});
     }
-    for (const auto &[organisation, units, recent, asked] : std::get<4>(*sent)) {
-        message.spends.push_back({organisation, units, recent, asked});
+    for (const auto &spend : std::get<4>(*sent)) {
+        message.spends.push_back(std::make_from_tuple<fleet::SpendStatement>(spend));
     }
     for (const auto &[fingerprint, servers] : std::get<5>(*sent)) {
         message.suspects.push_back({fingerprint, servers});
@@ -123,6 +131,38 @@
     return message;
 }
 
+auto encodeReport(const fleet::SpendReport &report) -> std::string
+{
+    return packed(Report{WireVersion, report.incarnation, report.question, pack(report.spend)});
+}
+
+auto decodeReport(std::string_view bytes) -> std::optional<fleet::SpendReport>
+{
+    const auto sent = unpackAs<Report>(bytes);
+    if (!sent || std::get<0>(*sent) != WireVersion) {
+        return std::nullopt;
+    }
+    return fleet::SpendReport{std::get<1>(*sent), std::get<2>(*sent),
+                              std::make_from_tuple<fleet::SpendStatement>(std::get<3>(*sent))};
+}
+
+auto encodeAnswer(const fleet::SpendAnswer &answer) -> std::string
+{
+    const auto &total = answer.total;
+    return packed(Answer{WireVersion, answer.question, total.organisation, total.window,
+                         total.recent, total.askedPerSecond, total.complete});
+}
+
+auto decodeAnswer(std::string_view bytes) -> std::optional<fleet::SpendAnswer>
+{
+    const auto sent = unpackAs<Answer>(bytes);
+    if (!sent || std::get<0>(*sent) != WireVersion) {
+        return std::nullopt;
+    }
+    const auto &[version, question, organisation, window, recent, asked, complete] = *sent;
+    return fleet::SpendAnswer{question, {organisation, window, recent, asked, complete}};
+}
+
 auto encodeBatch(const fleet::PublishedBatch &batch) -> std::string
 {
     Batch sent{WireVersion, batch.since, batch.until, {}};
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t FanOut = 10;
 /** Rounds between messages with what changes slowly: others' statements, paces, suspects. */
 constexpr std::uint64_t FullRounds = 5;
+constexpr int LostRounds = 4; ///< Rounds that may be lost or late before a node is missed.
 constexpr std::size_t RelayedStatements = 8; ///< A sample; news spreads in a few rounds.
 
 } // namespace
@@ -81,6 +82,12 @@
     this->books.servers.takePeerLoads(sums);
 }
 
+auto PeerGossip::lag(Instant now) const -> Duration
+{
+    const auto nodes = this->books.members.live(now).size();
+    return LostRounds * RoundInterval + RoundInterval * static_cast<std::int64_t>(nodes / FanOut);
+}
+
 auto PeerGossip::compose(bool replyWanted, bool full) -> std::string
 {
     const auto now = bootNow();
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -130,6 +130,24 @@
         this->refuse(503, Cause::CrashSuspect, LongestRetryAfter);
         return;
     }
+    auto *advice = this->scheduler.advicePort;
+    if (this->organisation != nullptr && advice != nullptr
+        && advice->askSpent(this->number, *this->organisation, this->quotaUnits())) {
+        this->adviceAwaited = true;
+        return;
+    }
+    this->admit();
+}
+
+auto RequestRun::advised() -> void
+{
+    if (std::exchange(this->adviceAwaited, false) && !this->isDone) {
+        this->admit();
+    }
+}
+
+auto RequestRun::admit() -> void
+{
     if (!this->chargeQuota()) {
         return;
     }
@@ -167,6 +185,13 @@
     return this->organisation != nullptr;
 }
 
+auto RequestRun::quotaUnits() const -> double
+{
+    return this->organisation->countsTokens && this->request.countsTokens
+               ? this->request.promptTokens + this->request.outputTokens
+               : this->organisation->plainUnits;
+}
+
 auto RequestRun::chargeQuota() -> bool
 {
     if (this->organisation == nullptr) {
@@ -174,19 +199,18 @@
     }
     auto &books = this->scheduler.books;
     const auto now = this->scheduler.clock();
-    const auto cost = this->organisation->countsTokens && this->request.countsTokens
-                          ? this->request.promptTokens + this->request.outputTokens
-                          : this->organisation->plainUnits;
+    const auto cost = this->quotaUnits();
     const auto part = books.members.reachablePart(now);
     const auto decision = books.quotas.admit(*this->organisation, cost, part, now);
     if (!decision.admitted) {
         const auto whole = [](double units) {
             return std::to_string(static_cast<std::int64_t>(units));
         };
-        this->step("over_quota", whole(cost) + " units on " + whole(decision.spent) + " spent of "
-                                     + whole(decision.usable)
-                                     + " usable, part of the fleet in contact "
-                                     + std::to_string(part));
+        this->step("over_quota",
+                   whole(cost) + " units on " + whole(decision.spent) + " spent of "
+                       + whole(decision.usable) + " usable, part of the fleet in contact "
+                       + std::to_string(part) + ", total told "
+                       + std::to_string(decision.toldAge / milliseconds(1)) + " ms ago");
         this->refuse(429, Cause::OverQuota,
                      this->comeBackAfter(books.quotas.retryAfter(*this->organisation, cost, now)));
         return false;
--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -42,6 +42,15 @@
     return number;
 }
 
+auto Scheduler::advised(std::uint64_t number) -> void
+{
+    const auto found = this->runs.find(number);
+    if (found != this->runs.end()) {
+        found->second->advised();
+        this->settle();
+    }
+}
+
 auto Scheduler::callerGone(std::uint64_t number) -> void
 {
     const auto found = this->runs.find(number);
--- a/tests/fleet/platform_tests.cpp
+++ b/tests/fleet/platform_tests.cpp
@@ -204,6 +204,7 @@
     CPPUNIT_TEST(gossip_roundTrip_keepsEverything);
     CPPUNIT_TEST(gossip_garbage_isNothing);
     CPPUNIT_TEST(batch_roundTrip_keepsEverything);
+    CPPUNIT_TEST(report_roundTrip_keepsEverything);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -317,7 +318,7 @@
         message.others.back().age = milliseconds(40);
         message.loads.push_back({7, 3, 1200});
         message.paces.push_back({7, 9.0F, 0.5F, 2.5F});
-        message.spends.push_back({9, 100, 50, 7});
+        message.spends.push_back({9, 100, 60, 50, 7, 30});
         message.suspects.push_back({11, {1, 2}});
         message.replyWanted = true;
         const auto back = gateway::decodeGossip(gateway::encodeGossip(message));
@@ -331,6 +332,23 @@
         CPPUNIT_ASSERT(back->replyWanted);
     }
 
+    auto report_roundTrip_keepsEverything() -> void
+    {
+        const auto report =
+            gateway::decodeReport(gateway::encodeReport({5, 6, {9, 100, 60, 50, 7, 30}}));
+        CPPUNIT_ASSERT(report.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, report->question);
+        CPPUNIT_ASSERT_EQUAL(60.0, report->spend.window);
+        CPPUNIT_ASSERT_EQUAL(30.0, report->spend.pending);
+        const auto answer =
+            gateway::decodeAnswer(gateway::encodeAnswer({6, {9, 100, 40, 7, true}}));
+        CPPUNIT_ASSERT(answer.has_value());
+        CPPUNIT_ASSERT_EQUAL(40.0, answer->total.recent);
+        CPPUNIT_ASSERT(answer->total.complete);
+        CPPUNIT_ASSERT(!gateway::decodeReport("garbage").has_value());
+        CPPUNIT_ASSERT(!gateway::decodeAnswer("garbage").has_value());
+    }
+
     auto batch_roundTrip_keepsEverything() -> void
     {
         const auto back = gateway::decodeBatch(
