--- a/include/banyanring/fleet/admission_queue.h
+++ b/include/banyanring/fleet/admission_queue.h
@@ -69,6 +69,14 @@
      */
     auto ahead(std::uint32_t tier, Instant now) const -> std::size_t;
 
+    /**
+     * Counts the waiting requests that would be served before one of them, organisations alike.
+     * @param run Its run.
+     * @param now The present.
+     * @return The number.
+     */
+    auto aheadOf(std::uint64_t run, Instant now) const -> std::size_t;
+
     /** @return The number of waiting requests. */
     auto size() const -> std::size_t
     {
--- a/include/banyanring/fleet/placement.h
+++ b/include/banyanring/fleet/placement.h
@@ -32,7 +32,7 @@
 struct Choice
 {
     ServerPtr server; ///< Null if no server can take the request now.
-    bool anyUsable = false; ///< Some server may be used, though it may be full or cold.
+    bool poor = false; ///< The server would be late, or is set aside.
 };
 
 /** Decides whether a cold server may get a request from this node now. */
--- a/include/banyanring/fleet/server_book.h
+++ b/include/banyanring/fleet/server_book.h
@@ -80,6 +80,7 @@
     Instant reportedAt{}; ///< When it reported that.
     Instant heardAt{}; ///< When this node last got data from it.
     ServerPace pace; ///< What it showed.
+    bool kept = false; ///< This node gives out its slots for the whole fleet.
     std::size_t keptConnections = 4; ///< Idle connections that this node may keep to it.
 
     /** @return Requests that it is believed to hold. */
@@ -156,7 +157,7 @@
     auto judge(Server &server, ServerVerdict verdict, Instant now) -> bool;
 
     /**
-     * Replaces what other nodes have sent to the servers.
+     * Replaces what other nodes have sent to the servers that this node does not keep.
      * @param loads By server number.
      */
     auto takePeerLoads(const std::unordered_map<std::uint32_t, ServerLoad> &loads) -> void;
@@ -181,6 +182,13 @@
      */
     auto find(std::string_view id) const -> ServerPtr;
 
+    /**
+     * Finds a server.
+     * @param number Its number.
+     * @return The server, or null.
+     */
+    auto findNumber(std::uint32_t number) const -> ServerPtr;
+
     /** @return All servers by id. */
     auto all() const -> const std::map<std::string, ServerPtr, std::less<>> &
     {
@@ -192,6 +200,7 @@
 
     std::map<std::string, ServerPtr, std::less<>> servers;
     std::map<std::string, std::vector<ServerPtr>, std::less<>> byService;
+    std::unordered_map<std::uint32_t, ServerPtr> byNumber;
 };
 
 } // namespace banyanring::fleet
--- a/include/banyanring/gateway/peer_socket.h
+++ b/include/banyanring/gateway/peer_socket.h
@@ -18,6 +18,11 @@
     Batch = 'b', ///< What changed in the store.
     Report = 'r', ///< What a node has admitted of an organisation.
     Total = 't', ///< What the others have, as the answer.
+    SlotAsk = 'q', ///< A request needs a slot.
+    SlotReply = 'a', ///< It gets one, or waits.
+    SlotReport = 'e', ///< What happened to it.
+    SlotHoldings = 'h', ///< Slots that a node's requests hold.
+    SlotRooms = 'm', ///< Room that a keeper has.
 };
 
 /**
--- a/include/banyanring/gateway/request_run.h
+++ b/include/banyanring/gateway/request_run.h
@@ -53,6 +53,34 @@
      */
     auto tryPlace() -> bool;
 
+    /**
+     * Takes the reply to its ask for a slot.
+     * @param reply The reply.
+     */
+    auto slotAnswered(const fleet::SlotReply &reply) -> void;
+
+    /** Its ask for a slot gets no answer: places it by what this node knows. */
+    auto slotSilent() -> void;
+
+    /** @return Whether it awaits a slot from a keeper. */
+    auto awaitsSlot() const -> bool
+    {
+        return this->slotAwaited;
+    }
+    /** @return Whether it awaits a slot by an ask. */
+    auto awaitsSlot(std::uint64_t ask) const -> bool
+    {
+        return this->slotAwaited && this->askNumber == ask;
+    }
+    /** @return The slot that it holds, if any. */
+    auto holding() const -> std::optional<fleet::SlotHolding>;
+
+    /** @return Number of the run that an ask belongs to. */
+    static auto runOfAsk(std::uint64_t ask) -> std::uint64_t
+    {
+        return ask / AsksPerRun;
+    }
+
     /** Refuses it: it has waited for too long. */
     auto refuseWaiting() -> void;
 
@@ -78,12 +106,21 @@
     auto onAnswerFailed(ExchangeFailure failure) -> void override;
 
 private:
+    static constexpr std::uint64_t AsksPerRun = 256; ///< More than a run can be sent.
+
     auto authorise() -> bool;
     auto admit() -> void;
     auto quotaUnits() const -> double;
+    auto cost() const -> double;
     auto chargeQuota() -> bool;
     auto chooseService() -> void;
     auto enqueue(Duration patience) -> void;
+    auto askSlot() -> bool;
+    auto noteQueued(Duration wait) -> void;
+    auto placeOrWait() -> void;
+    auto refuseLongWait(Duration wait) -> bool;
+    auto place(bool coldOnly) -> bool;
+    auto reportSlot(fleet::SlotEvent event) -> void;
     auto dispatch(const fleet::ServerPtr &server) -> void;
     auto endExchange(fleet::ServerVerdict verdict) -> void;
     auto finishExchangeTiming() -> void;
@@ -104,6 +141,7 @@
     auto comeBackAfter(Duration wait) const -> Duration;
     auto forServer() const -> const fleet::ServiceRule *;
     auto tier() const -> std::uint32_t;
+    auto urgency() const -> std::uint32_t;
 
     Scheduler &scheduler;
     std::uint64_t number;
@@ -142,6 +180,13 @@
     std::set<std::string> tried; ///< Servers that are not tried again.
     bool adviceAwaited = false; ///< The keepers of its organisation's account were asked.
     bool waiting = false;
+    Instant dueAt{}; ///< Sent after this, it misses its latency target.
+    Instant waitsUntil{}; ///< It is refused if it still waits then.
+    std::uint64_t askNumber = 0; ///< Of the last ask for a slot, or of a slot taken without one.
+    bool slotAwaited = false; ///< A keeper was asked for a slot.
+    bool queuedOnce = false; ///< A keeper has told how long it may wait.
+    std::optional<fleet::SlotEvent> slotEvent; ///< Overrides what the verdict says of the slot.
+    double outputTokens = 0; ///< Output tokens of the last whole answer after its first byte.
     bool isDone = false;
     std::vector<RequestStep> steps;
 };
--- a/include/banyanring/gateway/scheduler.h
+++ b/include/banyanring/gateway/scheduler.h
@@ -95,6 +95,38 @@
      */
     auto advised(std::uint64_t run) -> void;
 
+    /**
+     * Sets who gets slots from other nodes; without one, this node places alone.
+     * @param port Gets them; must outlive this object.
+     */
+    auto setSlots(SlotPort &port) -> void
+    {
+        this->slotPort = &port;
+    }
+
+    /**
+     * Takes the reply to an ask for a slot.
+     * @param reply The reply.
+     */
+    auto slotAnswered(const fleet::SlotReply &reply) -> void;
+
+    /**
+     * Notes that an ask for a slot gets no answer.
+     * @param ask Its number.
+     */
+    auto slotSilent(std::uint64_t ask) -> void;
+
+    /** @return Slots that this node's requests hold. */
+    auto holdings() const -> std::vector<fleet::SlotHolding>;
+
+    /**
+     * Tells whether a server may get work at all.
+     * @param server The server.
+     * @param now The present.
+     * @return Whether it may.
+     */
+    auto usable(const fleet::Server &server, Instant now) const -> bool;
+
     /**
      * Notes that a caller has left.
      * @param run The run of its request.
@@ -152,12 +184,13 @@
     auto usualOutput(const std::string &prefix, double most) const -> double;
     auto place(const std::string &service) -> void;
     auto reap() -> void;
-    auto usable(const fleet::Server &server, Instant now) const -> bool;
+    auto runOfAsk(std::uint64_t ask) -> RequestRun *;
     auto expectedWait(const std::string &service, std::uint32_t tier) -> Duration;
 
     NodeBooks &books;
     ServerPort &serverPort;
     AdvicePort *advicePort = nullptr;
+    SlotPort *slotPort = nullptr;
     std::function<Instant()> clock;
     std::mt19937_64 random;
     std::uint32_t nodeHash; ///< Tells this node's placements from others'.
--- a/include/banyanring/gateway/scheduler_ports.h
+++ b/include/banyanring/gateway/scheduler_ports.h
@@ -1,7 +1,7 @@
 /** @file scheduler_ports.h Ports between the scheduler and the sockets. */
 #pragma once
 
-#include "banyanring/fleet/server_book.h"
+#include "banyanring/fleet/slot_type.h"
 #include "banyanring/gateway/request_type.h"
 
 #include <memory>
@@ -104,6 +104,29 @@
                           double units) -> bool = 0;
 };
 
+/** Gets slots of servers from the nodes that keep them. */
+class SlotPort
+{
+public:
+    virtual ~SlotPort() = default;
+
+    /**
+     * Asks for a slot.
+     * @param ask The ask; its node, origin and service are filled in.
+     * @param service The service's name.
+     * @return The reply, if it is known at once; else Scheduler::slotAnswered() or slotSilent()
+     *         follows. A queued ask is answered once more when it is granted.
+     */
+    virtual auto ask(fleet::SlotAsk ask, const std::string &service)
+        -> std::optional<fleet::SlotReply> = 0;
+
+    /** @param ask Number of an ask that is given up. */
+    virtual auto withdraw(std::uint64_t ask) -> void = 0;
+
+    /** @param report What happened to a request that was granted a slot. */
+    virtual auto report(fleet::SlotReport report) -> void = 0;
+};
+
 /** Sends requests to servers. */
 class ServerPort
 {
--- a/src/fleet/admission_queue.cpp
+++ b/src/fleet/admission_queue.cpp
@@ -79,4 +79,19 @@
                       [&](const auto &item) { return item.tier <= tier && item.dueAt >= now; }));
 }
 
+auto AdmissionQueue::aheadOf(std::uint64_t run, Instant now) const -> std::size_t
+{
+    const auto rank = [now](const QueuedRequest &item) {
+        return std::tuple(item.dueAt < now, item.tier, item.dueAt);
+    };
+    const auto found = std::find_if(this->waiting.begin(), this->waiting.end(),
+                                    [run](const QueuedRequest &item) { return item.run == run; });
+    if (found == this->waiting.end()) {
+        return 0;
+    }
+    return static_cast<std::size_t>(
+        std::count_if(this->waiting.begin(), this->waiting.end(),
+                      [&](const QueuedRequest &item) { return rank(item) < rank(*found); }));
+}
+
 } // namespace banyanring::fleet
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -101,7 +101,6 @@
         if (!usable(*server)) {
             continue;
         }
-        choice.anyUsable = true;
         const auto occupied = server->occupied(now);
         if (occupied >= server->entry.slots || (server->cold(now) && !coldGate(*server))) {
             continue;
@@ -109,6 +108,7 @@
         const double cost = costOf(*server, shape, now) * preferenceOf(*server, shape.node);
         if (!choice.server || cost < best) {
             choice.server = server;
+            choice.poor = cost >= LatePenaltyMs;
             best = cost;
         }
     }
--- a/src/fleet/server_book.cpp
+++ b/src/fleet/server_book.cpp
@@ -179,6 +179,9 @@
 auto ServerBook::takePeerLoads(const std::unordered_map<std::uint32_t, ServerLoad> &loads) -> void
 {
     for (const auto &[id, server] : this->servers) {
+        if (server->kept) {
+            continue;
+        }
         const auto found = loads.find(server->number);
         server->peers = found == loads.end() ? ServerLoad{} : found->second;
     }
@@ -218,10 +221,18 @@
     return found == this->servers.end() ? nullptr : found->second;
 }
 
+auto ServerBook::findNumber(std::uint32_t number) const -> ServerPtr
+{
+    const auto found = this->byNumber.find(number);
+    return found == this->byNumber.end() ? nullptr : found->second;
+}
+
 auto ServerBook::rebuildIndex() -> void
 {
     this->byService.clear();
+    this->byNumber.clear();
     for (const auto &[id, server] : this->servers) {
+        this->byNumber[server->number] = server;
         this->byService[server->entry.service].push_back(server);
     }
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -48,6 +48,8 @@
               [this] { this->scheduler.placeAll(); }),
       accounts(this->peerSocket, this->books, this->environment.peers.text(), this->incarnation,
                [this](std::uint64_t run) { this->scheduler.advised(run); }),
+      slots(this->peerSocket, this->books, this->environment.peers.text(), this->incarnation,
+            this->slotCallbacks()),
       entry(this->context, this->environment.entry, this->entryHandler()),
       readiness(this->context, this->environment.readiness,
                 this->smallHandler([this](const CallerRequest &request) {
@@ -79,6 +81,7 @@
                          {"incarnation", std::to_string(this->incarnation)}});
     this->awaitSignals();
     this->scheduler.setAdvice(this->accounts);
+    this->scheduler.setSlots(this->slots);
     this->gossip.sendRound();
     this->scheduleTick();
     this->context.run();
@@ -156,6 +159,20 @@
     return own;
 }
 
+auto Gateway::slotCallbacks() -> SlotKeeping::Callbacks
+{
+    SlotKeeping::Callbacks callbacks;
+    callbacks.onReply = [this](const fleet::SlotReply &reply) {
+        this->scheduler.slotAnswered(reply);
+    };
+    callbacks.onSilent = [this](std::uint64_t ask) { this->scheduler.slotSilent(ask); };
+    callbacks.holdings = [this] { return this->scheduler.holdings(); };
+    callbacks.usable = [this](const fleet::Server &server, Instant now) {
+        return this->scheduler.usable(server, now);
+    };
+    return callbacks;
+}
+
 auto Gateway::scheduleTick() -> void
 {
     this->timer.expires_after(TickInterval);
@@ -179,6 +196,7 @@
     this->pool.tick(now);
     this->sharing.tick(now);
     this->accounts.tick(now);
+    this->slots.tick(now);
     this->gossip.applyLoads(now);
     this->scheduler.tick();
     if (this->ticks % GossipTicks == 0) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "banyanring/gateway/mirror_sharing.h"
 #include "banyanring/gateway/peer_gossip.h"
 #include "banyanring/gateway/server_pool.h"
+#include "banyanring/gateway/slot_keeping.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -34,6 +35,7 @@
     auto answerPeer(const CallerRequest &request) -> WholeAnswer;
     auto answerOperator(const CallerRequest &request) -> WholeAnswer;
     auto statement() const -> fleet::NodeStatement;
+    auto slotCallbacks() -> SlotKeeping::Callbacks;
     auto scheduleTick() -> void;
     auto tick() -> void;
     auto slowTick(Instant now) -> void;
@@ -57,6 +59,7 @@
     PeerGossip gossip;
     MirrorSharing sharing;
     AccountKeeping accounts;
+    SlotKeeping slots;
     Door entry;
     Door readiness;
     Door directory;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -45,6 +45,7 @@
              {"draining", server->entry.draining},
              {"own", server->own.requests},
              {"peers", server->peers.requests},
+             {"kept", server->kept},
              {"cold_ms", std::max<std::int64_t>(0, toMs(server->coldUntil - now))},
              {"avoid_ms", std::max<std::int64_t>(0, toMs(server->avoidUntil - now))},
              {"ejected_ms", std::max<std::int64_t>(0, toMs(server->ejectedUntil - now))},
@@ -106,6 +107,10 @@
     gauge("gossip_sent_bytes", this->peerSocket.traffic().sentBytes);
     gauge("gossip_received", this->peerSocket.traffic().received);
     gauge("gossip_garbage", this->peerSocket.traffic().garbage);
+    gauge("asks_waiting", this->slots.waiting());
+    gauge("kept_servers", std::count_if(this->books.servers.all().begin(),
+                                        this->books.servers.all().end(),
+                                        [](const auto &item) { return item.second->kept; }));
     gauge("idle_server_connections", this->pool.idleConnections());
     out << "# TYPE banyanring_server_requests gauge\n";
     for (const auto &[id, server] : this->books.servers.all()) {
--- a/src/gateway/gossip_codec.cpp
+++ b/src/gateway/gossip_codec.cpp
@@ -1,15 +1,12 @@
 /** @file gossip_codec.cpp Messages between nodes as msgpack. */
 #include "banyanring/gateway/gossip_codec.h"
 
-#include <msgpack.hpp>
-#include <tuple>
+#include "msgpack_func.h"
 
 namespace banyanring::gateway {
 
 namespace {
 
-constexpr int WireVersion = 1; ///< Grows with each change that older nodes cannot read.
-
 using Statement = std::tuple<std::string, std::string, std::string, std::uint64_t, std::uint64_t,
                              std::uint8_t, std::uint64_t, std::uint64_t, bool, bool, std::int64_t>;
 using Load = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>;
@@ -57,26 +54,6 @@
             spend.fleetRecent,  spend.askedPerSecond, spend.pending};
 }
 
-/** @return The unpacked value; nothing if the bytes do not hold one. */
-template <typename Value> auto unpackAs(std::string_view bytes) -> std::optional<Value>
-{
-    try {
-        return msgpack::unpack(bytes.data(), bytes.size()).get().as<Value>();
-    } catch (const msgpack::unpack_error &) {
-        return std::nullopt; // The caller counts and logs it.
-    } catch (const msgpack::type_error &) {
-        return std::nullopt; // Likewise.
-    }
-}
-
-/** @return The packed bytes of a value. */
-template <typename Value> auto packed(const Value &value) -> std::string
-{
-    msgpack::sbuffer buffer;
-    msgpack::pack(buffer, value);
-    return {buffer.data(), buffer.size()};
-}
-
 } // namespace
 
 auto encodeGossip(const fleet::GossipMessage &message) -> std::string
@@ -107,7 +84,7 @@
 auto decodeGossip(std::string_view bytes) -> std::optional<fleet::GossipMessage>
 {
     const auto sent = unpackAs<Message>(bytes);
-    if (!sent || std::get<0>(*sent) != WireVersion) {
+    if (!sent) {
         return std::nullopt;
     }
     fleet::GossipMessage message;
@@ -139,7 +116,7 @@
 auto decodeReport(std::string_view bytes) -> std::optional<fleet::SpendReport>
 {
     const auto sent = unpackAs<Report>(bytes);
-    if (!sent || std::get<0>(*sent) != WireVersion) {
+    if (!sent) {
         return std::nullopt;
     }
     return fleet::SpendReport{std::get<1>(*sent), std::get<2>(*sent),
@@ -156,7 +133,7 @@
 auto decodeAnswer(std::string_view bytes) -> std::optional<fleet::SpendAnswer>
 {
     const auto sent = unpackAs<Answer>(bytes);
-    if (!sent || std::get<0>(*sent) != WireVersion) {
+    if (!sent) {
         return std::nullopt;
     }
     const auto &[version, question, organisation, window, recent, asked, complete] = *sent;
@@ -175,7 +152,7 @@
 auto decodeBatch(std::string_view bytes) -> std::optional<fleet::PublishedBatch>
 {
     const auto sent = unpackAs<Batch>(bytes);
-    if (!sent || std::get<0>(*sent) != WireVersion) {
+    if (!sent) {
         return std::nullopt;
     }
     fleet::PublishedBatch batch{std::get<1>(*sent), std::get<2>(*sent), {}};
@@ -197,7 +174,7 @@
 auto decodeMirror(std::string_view bytes) -> std::optional<PeerMirror>
 {
     const auto sent = unpackAs<Mirror>(bytes);
-    if (!sent || std::get<0>(*sent) != WireVersion) {
+    if (!sent) {
         return std::nullopt;
     }
     PeerMirror mirror;
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -34,6 +34,11 @@
 } // namespace
 
 auto RequestRun::tryPlace() -> bool
+{
+    return this->place(false);
+}
+
+auto RequestRun::place(bool coldOnly) -> bool
 {
     auto &books = this->scheduler.books;
     const auto now = this->scheduler.clock();
@@ -43,7 +48,8 @@
     this->shape.timeLeftMs = static_cast<double>((this->finalAt - now).count()) / 1000;
     this->shape.targetMs = std::max(0.0, static_cast<double>((dueAt - now).count()) / 1000);
     const auto usable = [&](const fleet::Server &candidate) {
-        return this->scheduler.usable(candidate, now) && !this->tried.contains(candidate.entry.id);
+        return this->scheduler.usable(candidate, now) && (!coldOnly || candidate.cold(now))
+               && !this->tried.contains(candidate.entry.id);
     };
     const auto coldGate = [&](const fleet::Server &candidate) {
         if (rule == nullptr || rule->coldPerSecond <= 0) {
@@ -55,7 +61,7 @@
     };
     const auto choice = fleet::choosePlacement(books.servers.ofService(this->service), this->shape,
                                                usable, coldGate, now);
-    if (!choice.server) {
+    if (!choice.server || (coldOnly && choice.poor)) {
         return false;
     }
     this->scheduler.queueOf(this->service).waiting.remove(this->number);
@@ -73,7 +79,7 @@
     if (this->sends == 0) {
         books.retries.noteRequest(this->service, now);
         queue.waiting.noteServed(this->organisation ? nameId(this->organisation->name) : 0,
-                                 1 + this->shape.promptWork + this->shape.outputTokens, now);
+                                 this->cost(), now);
     }
     ++this->sends;
     this->server = chosen;
@@ -123,6 +129,9 @@
     if (this->promptCounted) {
         target.own.promptWork -= this->shape.promptWork;
         this->promptCounted = false;
+        if (this->shape.engine) {
+            this->reportSlot(fleet::SlotEvent::FirstByte);
+        }
     }
     const auto *rule = this->forServer();
     const auto coldFor = rule != nullptr ? rule->coldFor : Duration(0);
@@ -245,6 +254,7 @@
                       {"request_id", this->request.id},
                       {"avoid_ms", std::int64_t{this->server->avoidFor / milliseconds(1)}}});
         }
+        this->slotEvent = fleet::SlotEvent::Unreachable;
         this->endExchange(fleet::ServerVerdict::Neutral);
         if (++this->unconnected >= MostUnconnected) {
             this->refuseWaiting();
@@ -273,6 +283,7 @@
         target.reportedOthers = std::max(target.reportedOthers, target.entry.slots);
         target.reportedAt = now;
     }
+    this->slotEvent = fleet::SlotEvent::Rejected;
     this->endExchange(spare ? fleet::ServerVerdict::Failed : fleet::ServerVerdict::Neutral);
     this->step("rejected", id + " status " + std::to_string(this->answer.status));
     this->tried.insert(id);
@@ -334,6 +345,7 @@
         (rule != nullptr ? rule->tokensPerEvent : 1) * std::max(0.0, delivered - 1);
     fleet::learnPace(*this->server, this->shape, this->workAhead, this->answerAt - this->sentAt,
                      now - this->answerAt, output);
+    this->outputTokens = output;
     if (delivered > 0) {
         this->scheduler.noteOutput(this->route->prefix, output);
     }
@@ -364,6 +376,36 @@
     this->exchange->cancel();
     this->scheduler.retired.push_back(std::move(this->exchange));
     this->scheduler.dirty.insert(this->service);
+    const auto byVerdict = verdict == fleet::ServerVerdict::Good     ? fleet::SlotEvent::Good
+                           : verdict == fleet::ServerVerdict::Failed ? fleet::SlotEvent::Failed
+                                                                     : fleet::SlotEvent::Neutral;
+    this->reportSlot(std::exchange(this->slotEvent, std::nullopt).value_or(byVerdict));
+}
+
+auto RequestRun::reportSlot(fleet::SlotEvent event) -> void
+{
+    if (this->scheduler.slotPort == nullptr) {
+        return;
+    }
+    const auto now = this->scheduler.clock();
+    fleet::SlotReport report;
+    report.ask = this->askNumber;
+    report.event = event;
+    if (event == fleet::SlotEvent::Good) {
+        report.firstByte = this->answerAt - this->sentAt;
+        report.rest = now - this->answerAt;
+        report.outputTokens = this->outputTokens;
+    }
+    this->scheduler.slotPort->report(report);
+}
+
+auto RequestRun::holding() const -> std::optional<fleet::SlotHolding>
+{
+    if (!this->exchange) {
+        return std::nullopt;
+    }
+    return fleet::SlotHolding{this->askNumber, this->server->number,
+                              this->promptCounted ? this->shape.promptWork : 0};
 }
 
 auto RequestRun::stalled(Instant now) const -> bool
--- a/src/gateway/request_run.cpp
+++ b/src/gateway/request_run.cpp
@@ -20,7 +20,7 @@
 constexpr int TargetPatience = 4; ///< Times the latency target.
 constexpr int GapPatience = 8; ///< Times the longest pause.
 /** Part of the caller's patience that a request may wait; the rest is for its service. */
-constexpr double QueuePatience = 0.5;
+constexpr double QueuePatience = 0.25;
 /** Expected times to the first byte are averages; a request is sent while twice as long fits. */
 constexpr double FirstByteMargin = 2;
 /** A queue that moves within it is no overload. */
@@ -30,6 +30,8 @@
 constexpr Duration RepeatDue = milliseconds(100); ///< A repeat is urgent.
 constexpr Duration ShortRetryAfter = milliseconds(250); ///< The cause passes quickly.
 constexpr Duration LongestRetryAfter = std::chrono::seconds(5); ///< Callers wait no longer.
+/** Tiers of routes order the requests inside a tier of organisations. */
+constexpr std::uint32_t TierStep = 256;
 constexpr std::size_t LogDetailLimit = 200; ///< Longest detail of a step.
 
 /** @return HTTP reason phrase of an answer of our own. */
@@ -237,6 +239,11 @@
     return this->route->tier;
 }
 
+auto RequestRun::urgency() const -> std::uint32_t
+{
+    return this->tier() * TierStep + std::min(this->route->tier, TierStep - 1);
+}
+
 auto RequestRun::forServer() const -> const fleet::ServiceRule *
 {
     return this->scheduler.books.config.findService(this->service);
@@ -249,26 +256,121 @@
     const auto first = milliseconds(static_cast<std::int64_t>(
         FirstByteMargin * fleet::expectedFirstMs(fleet::Server{}, this->shape)));
     const auto organisationId = this->organisation ? nameId(this->organisation->name) : 0;
-    const double cost = 1 + this->shape.promptWork + this->shape.outputTokens;
     const bool again = this->sends > 0;
-    const auto dueAt =
-        again ? now + RepeatDue : this->request.arrivedAt + this->route->target - first;
+    this->dueAt = again ? now + RepeatDue : this->request.arrivedAt + this->route->target - first;
+    this->waitsUntil = std::min(now + longestWait, this->finalAt);
+    this->askNumber = std::max(this->askNumber, this->number * AsksPerRun) + 1;
     this->waiting = true;
-    queue.waiting.push({this->number, this->tier(), organisationId, cost, dueAt,
-                        std::min(now + longestWait, this->finalAt)});
-    if (this->tryPlace() || again) {
+    queue.waiting.push({this->number, this->urgency(), organisationId, this->cost(), this->dueAt,
+                        this->waitsUntil});
+    if (!this->askSlot()) {
+        this->placeOrWait();
+    }
+}
+
+auto RequestRun::cost() const -> double
+{
+    return 1 + this->shape.promptWork + this->shape.outputTokens;
+}
+
+auto RequestRun::askSlot() -> bool
+{
+    if (this->scheduler.slotPort == nullptr) {
+        return false;
+    }
+    if (this->place(true)) {
+        return true;
+    }
+    const auto now = this->scheduler.clock();
+    fleet::SlotAsk ask;
+    ask.ask = this->askNumber;
+    ask.shape = this->shape;
+    ask.shape.node = 0;
+    ask.tier = this->urgency();
+    ask.organisation = this->organisation ? nameId(this->organisation->name) : 0;
+    ask.cost = this->cost();
+    ask.dueIn = this->dueAt - now;
+    ask.refuseIn = this->waitsUntil - now;
+    for (const auto &id : this->tried) {
+        if (const auto known = this->scheduler.books.servers.find(id)) {
+            ask.tried.push_back(known->number);
+        }
+    }
+    this->slotAwaited = true;
+    const auto reply = this->scheduler.slotPort->ask(std::move(ask), this->service);
+    if (reply && reply->outcome == fleet::SlotOutcome::Unkept) {
+        this->slotAwaited = false;
+        return false;
+    }
+    if (reply) {
+        this->slotAnswered(*reply);
+    }
+    return true;
+}
+
+auto RequestRun::slotAnswered(const fleet::SlotReply &reply) -> void
+{
+    if (reply.outcome == fleet::SlotOutcome::Queued) {
+        this->noteQueued(reply.wait);
         return;
     }
-    const auto wait = this->scheduler.expectedWait(this->service, this->tier());
-    if (now + wait > std::max(dueAt, now + LeastQueueWait)) {
-        queue.waiting.remove(this->number);
+    this->slotAwaited = false;
+    const auto granted = reply.outcome == fleet::SlotOutcome::Granted
+                             ? this->scheduler.books.servers.findNumber(reply.server)
+                             : nullptr;
+    if (granted && this->scheduler.usable(*granted, this->scheduler.clock())
+        && !this->tried.contains(granted->entry.id)) {
+        this->scheduler.queueOf(this->service).waiting.remove(this->number);
         this->waiting = false;
-        this->step("queue_full", std::to_string(queue.waiting.size()) + " waiting, expected "
-                                     + secondsText(wait) + " s");
-        this->refuse(503, Cause::Overload, this->comeBackAfter(wait));
+        this->dispatch(granted);
         return;
     }
-    this->step("queued", std::to_string(queue.waiting.size()) + " waiting");
+    if (reply.outcome == fleet::SlotOutcome::Granted) {
+        this->step("grant_unusable", granted ? granted->entry.id : "unknown");
+        this->scheduler.slotPort->withdraw(reply.ask);
+    }
+    this->placeOrWait();
+}
+
+auto RequestRun::noteQueued(Duration wait) -> void
+{
+    const bool first = !std::exchange(this->queuedOnce, true);
+    if (first && !this->refuseLongWait(wait)) {
+        this->step("queued", "expected " + secondsText(wait) + " s");
+    } else if (!first && this->scheduler.clock() + wait > this->waitsUntil) {
+        this->step("overtaken", "expected " + secondsText(wait) + " s");
+        this->refuseWaiting();
+    }
+}
+
+auto RequestRun::slotSilent() -> void
+{
+    this->slotAwaited = false;
+    this->step("keeper_silent");
+    this->placeOrWait();
+}
+
+auto RequestRun::placeOrWait() -> void
+{
+    if (this->tryPlace() || this->sends > 0) {
+        return;
+    }
+    const auto wait = this->scheduler.expectedWait(this->service, this->urgency());
+    if (!this->refuseLongWait(wait)) {
+        this->step("queued", std::to_string(this->scheduler.queueOf(this->service).waiting.size())
+                                 + " waiting");
+    }
+}
+
+auto RequestRun::refuseLongWait(Duration wait) -> bool
+{
+    const auto now = this->scheduler.clock();
+    if (this->sends > 0 || now + wait <= std::max(this->dueAt, now + LeastQueueWait)) {
+        return false;
+    }
+    this->step("queue_full", "expected " + secondsText(wait) + " s");
+    this->refuse(503, Cause::Overload, this->comeBackAfter(wait));
+    return true;
 }
 
 auto RequestRun::comeBackAfter(Duration wait) const -> Duration
@@ -279,6 +381,7 @@
 
 auto RequestRun::refuseWaiting() -> void
 {
+    this->scheduler.queueOf(this->service).waiting.remove(this->number);
     this->waiting = false;
     const auto cause = this->scheduler.books.servers.ofService(this->service).empty()
                            ? Cause::NoServer
@@ -286,7 +389,7 @@
     if (!this->mayHaveRun) {
         this->refuse(
             503, cause,
-            this->comeBackAfter(this->scheduler.expectedWait(this->service, this->tier())));
+            this->comeBackAfter(this->scheduler.expectedWait(this->service, this->urgency())));
         return;
     }
     this->failUnknown(502, cause);
@@ -363,6 +466,9 @@
 {
     const auto now = this->scheduler.clock();
     this->isDone = true;
+    if (std::exchange(this->slotAwaited, false)) {
+        this->scheduler.slotPort->withdraw(this->askNumber);
+    }
     if (this->waiting) {
         this->scheduler.queueOf(this->service).waiting.remove(this->number);
         this->waiting = false;
--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -51,6 +51,43 @@
     }
 }
 
+auto Scheduler::runOfAsk(std::uint64_t ask) -> RequestRun *
+{
+    const auto found = this->runs.find(RequestRun::runOfAsk(ask));
+    return found == this->runs.end() ? nullptr : found->second.get();
+}
+
+auto Scheduler::slotAnswered(const fleet::SlotReply &reply) -> void
+{
+    auto *run = this->runOfAsk(reply.ask);
+    if (run != nullptr && run->awaitsSlot(reply.ask)) {
+        run->slotAnswered(reply);
+        this->settle();
+    } else if (reply.outcome == fleet::SlotOutcome::Granted) {
+        this->slotPort->withdraw(reply.ask);
+    }
+}
+
+auto Scheduler::slotSilent(std::uint64_t ask) -> void
+{
+    auto *run = this->runOfAsk(ask);
+    if (run != nullptr && run->awaitsSlot(ask)) {
+        run->slotSilent();
+        this->settle();
+    }
+}
+
+auto Scheduler::holdings() const -> std::vector<fleet::SlotHolding>
+{
+    std::vector<fleet::SlotHolding> slots;
+    for (const auto &[number, run] : this->runs) {
+        if (const auto slot = run->holding()) {
+            slots.push_back(*slot);
+        }
+    }
+    return slots;
+}
+
 auto Scheduler::callerGone(std::uint64_t number) -> void
 {
     const auto found = this->runs.find(number);
@@ -139,6 +176,9 @@
     }
     int failures = 0;
     for (const auto number : queue.waiting.order(this->clock())) {
+        if (this->runs.at(number)->awaitsSlot()) {
+            continue; // Its keeper orders it among those of all nodes.
+        }
         if (!this->runs.at(number)->tryPlace() && ++failures >= FailuresPerRound) {
             return;
         }
