--- a/include/banyanring/fleet/peer_state_type.h
+++ b/include/banyanring/fleet/peer_state_type.h
@@ -96,6 +96,7 @@
 {
     NodeStatement sender; ///< The sender itself; its age is zero.
     std::vector<NodeStatement> others; ///< A sample of what it knows of others; now and then.
+    bool workTold = false; ///< The loads are all of its work, not left out.
     std::vector<LoadStatement> loads; ///< The sender's own work.
     std::vector<PaceStatement> paces; ///< What it saw of servers; now and then.
     std::vector<SpendStatement> spends; ///< The sender's own admissions.
--- a/include/banyanring/fleet/published_book.h
+++ b/include/banyanring/fleet/published_book.h
@@ -31,6 +31,7 @@
 {
     std::uint64_t since = 0; ///< Complete for a mirror that has reached this revision.
     std::uint64_t until = 0; ///< Revision that it leads to.
+    bool whole = true; ///< No item was too long to be told.
     std::vector<PublishedChange> changes; ///< The last state of each changed item.
 };
 
@@ -61,9 +62,11 @@
      * Collects the present state of items for other nodes.
      * @param keys Keys of all items that changed since then.
      * @param since Revision of this mirror before.
+     * @param longestItem Longer items are left out.
      * @return The batch.
      */
-    auto batchOf(const std::vector<std::string> &keys, std::uint64_t since) const -> PublishedBatch;
+    auto batchOf(const std::vector<std::string> &keys, std::uint64_t since,
+                 std::size_t longestItem) const -> PublishedBatch;
 
     /**
      * Takes another node's batch. A mirror that was never filled takes none; one that lacks what
--- a/include/banyanring/gateway/mirror_sharing.h
+++ b/include/banyanring/gateway/mirror_sharing.h
@@ -12,7 +12,7 @@
 /**
  * Keeps the mirror of the store. The nodes whose duty it is watch the store and tell changes to a
  * few others, each of which tells a few more. A node that missed something sees it by the others'
- * revisions and fetches the whole mirror.
+ * revisions and reads the store itself until it has caught up, or fetches a peer's whole mirror.
  */
 class MirrorSharing
 {
@@ -61,6 +61,7 @@
     auto takeOwn(const std::vector<std::string> &keys) -> void;
     auto takeBatch(std::string_view body) -> bool;
     auto spread(std::string_view bytes, std::size_t fanOut) -> void;
+    auto behind(Instant now) const -> bool;
     auto noteReach(Instant now) -> void;
     auto followPeers(Instant now) -> void;
     auto takeWhole(const std::string &peer, const FetchResult &result) -> void;
@@ -75,6 +76,7 @@
     HttpFetch peerFetch;
     std::mt19937_64 random;
     std::uint64_t told = 0; ///< Revision up to which changes were spread.
+    bool watching = false; ///< It is this node's duty to watch the store.
     bool fleetReaches = false; ///< This node or one in contact reaches the store.
     std::uint64_t awaited = 0; ///< Revision that peers had at that moment.
     Instant awaitedSince{}; ///< Since when it is awaited; zero if nothing is.
--- a/include/banyanring/gateway/peer_gossip.h
+++ b/include/banyanring/gateway/peer_gossip.h
@@ -23,9 +23,12 @@
 
     static constexpr Duration RoundInterval = std::chrono::milliseconds(100); ///< Between rounds.
 
-    /** Sends one round. */
+    /** Sends one round, where one is due; to be called each RoundInterval. */
     auto sendRound() -> void;
 
+    /** Tells many nodes at once that this one's phase has changed. */
+    auto announce() -> void;
+
     /** @return Time in which gossip of every node in contact is heard, as a rule. */
     auto lag(Instant now) const -> Duration;
 
@@ -33,8 +36,20 @@
     auto applyLoads(Instant now) -> void;
 
 private:
+    /** What a message holds beside the sender's statement. */
+    struct Parts
+    {
+        bool replyWanted = false; ///< The sender knows nobody.
+        bool others = false; ///< Statements of other nodes.
+        bool slow = false; ///< What changes slowly: paces, suspects.
+        bool work = false; ///< Own work at servers and own admissions.
+    };
+
     auto take(const fleet::GossipMessage &message) -> void;
-    auto compose(bool replyWanted, bool full) -> std::string;
+    auto sendTo(std::size_t fanOut, const Parts &parts) -> void;
+    auto compose(const Parts &parts) -> std::string;
+    auto loadsHere() const -> std::vector<fleet::LoadStatement>;
+    auto paces() const -> std::vector<fleet::PaceStatement>;
 
     PeerSocket &socket;
     NodeBooks &books;
--- a/src/fleet/published_book.cpp
+++ b/src/fleet/published_book.cpp
@@ -55,13 +55,15 @@
     return changed;
 }
 
-auto PublishedBook::batchOf(const std::vector<std::string> &keys, std::uint64_t since) const
-    -> PublishedBatch
+auto PublishedBook::batchOf(const std::vector<std::string> &keys, std::uint64_t since,
+                            std::size_t longestItem) const -> PublishedBatch
 {
-    PublishedBatch batch{since, this->reached, {}};
+    PublishedBatch batch{since, this->reached, true, {}};
     for (const auto &key : keys) {
         const auto *item = this->find(key);
-        if (item == nullptr) {
+        if (item != nullptr && item->value.size() > longestItem) {
+            batch.whole = false;
+        } else if (item == nullptr) {
             batch.changes.push_back({key, "", this->reached, true});
         } else {
             batch.changes.push_back({key, item->value, item->revision, false});
@@ -76,7 +78,8 @@
         return {};
     }
     // Behind the batch, what it tells is true all the same, but something before it is missing.
-    return this->apply(batch.changes, batch.since <= this->reached ? batch.until : 0);
+    const bool follows = batch.whole && batch.since <= this->reached;
+    return this->apply(batch.changes, follows ? batch.until : 0);
 }
 
 auto PublishedBook::find(std::string_view key) const -> const PublishedItem *
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -311,7 +311,7 @@
     this->stopAsked = bootNow();
     this->phase = fleet::NodePhase::Draining;
     this->entry.announceClose();
-    this->gossip.sendRound();
+    this->gossip.announce();
     logEvent("stopping",
              {{"open_requests", static_cast<std::int64_t>(this->scheduler.openRuns())}});
 }
--- a/src/gateway/gossip_codec.cpp
+++ b/src/gateway/gossip_codec.cpp
@@ -16,10 +16,10 @@
 using Answer = std::tuple<int, std::uint64_t, std::uint32_t, double, double, double, bool>;
 using Suspect = std::tuple<std::uint64_t, std::vector<std::uint32_t>>;
 using Message = std::tuple<int, Statement, std::vector<Statement>, std::vector<Load>,
-                           std::vector<Spend>, std::vector<Suspect>, bool, std::vector<Pace>>;
+                           std::vector<Spend>, std::vector<Suspect>, bool, std::vector<Pace>, bool>;
 using Item = std::tuple<std::string, std::string, std::uint64_t>;
 using Change = std::tuple<std::string, std::string, std::uint64_t, bool>;
-using Batch = std::tuple<int, std::uint64_t, std::uint64_t, std::vector<Change>>;
+using Batch = std::tuple<int, std::uint64_t, std::uint64_t, std::vector<Change>, bool>;
 using Mirror = std::tuple<int, std::uint64_t, std::vector<Item>>;
 
 /** @return A statement as it is sent. */
@@ -78,6 +78,7 @@
         std::get<5>(sent).emplace_back(suspect.fingerprint, suspect.servers);
     }
     std::get<6>(sent) = message.replyWanted;
+    std::get<8>(sent) = message.workTold;
     return packed(sent);
 }
 
@@ -105,6 +106,7 @@
         message.suspects.push_back({fingerprint, servers});
     }
     message.replyWanted = std::get<6>(*sent);
+    message.workTold = std::get<8>(*sent);
     return message;
 }
 
@@ -142,7 +144,7 @@
 
 auto encodeBatch(const fleet::PublishedBatch &batch) -> std::string
 {
-    Batch sent{WireVersion, batch.since, batch.until, {}};
+    Batch sent{WireVersion, batch.since, batch.until, {}, batch.whole};
     for (const auto &change : batch.changes) {
         std::get<3>(sent).emplace_back(change.key, change.value, change.revision, change.removed);
     }
@@ -155,7 +157,7 @@
     if (!sent) {
         return std::nullopt;
     }
-    fleet::PublishedBatch batch{std::get<1>(*sent), std::get<2>(*sent), {}};
+    fleet::PublishedBatch batch{std::get<1>(*sent), std::get<2>(*sent), std::get<4>(*sent), {}};
     for (const auto &[key, value, revision, removed] : std::get<3>(*sent)) {
         batch.changes.push_back({key, value, revision, removed});
     }
--- a/src/gateway/mirror_sharing.cpp
+++ b/src/gateway/mirror_sharing.cpp
@@ -16,8 +16,14 @@
 /** Four leave one node in fifty out, which then fetches; more only repeat. */
 constexpr std::size_t NextFanOut = 4;
 constexpr Duration BehindPatience = milliseconds(300); ///< Changes usually spread sooner.
+/** Without an answer of the store by then, a node that is behind asks its peers. */
+constexpr Duration CatchUpPatience = milliseconds(400);
 constexpr Duration FollowInterval = milliseconds(700); ///< Between fetches from peers.
-constexpr Duration PeerFetchTimeout = milliseconds(1000); ///< Peers answer within milliseconds.
+/** The longest configurations take a second on the slowest links. */
+constexpr Duration PeerFetchTimeout = milliseconds(2500);
+/** Of an item in a batch; entries of servers have some hundred bytes, configurations may be long.
+ */
+constexpr std::size_t LongestItem = 8192;
 constexpr int Ok = 200;
 
 } // namespace
@@ -50,18 +56,26 @@
 auto MirrorSharing::tick(Instant now) -> void
 {
     const bool watch = this->duty.update(this->books.members, now);
-    if (watch != this->store.active()) {
+    if (watch != this->watching) {
+        this->watching = watch;
+        const auto members = this->books.members.live(now).size();
         logEvent("store_watch",
-                 {{"watching", watch},
-                  {"members", static_cast<std::int64_t>(this->books.members.live(now).size())}});
-        if (watch) {
-            this->store.start();
-        } else {
-            this->store.stop();
-        }
+                 {{"watching", watch}, {"members", static_cast<std::int64_t>(members)}});
     }
     this->noteReach(now);
     this->followPeers(now);
+    const bool read = watch || this->behind(now);
+    if (read && !this->store.active()) {
+        this->store.start();
+    } else if (!read && this->store.active()) {
+        this->store.stop();
+    }
+}
+
+auto MirrorSharing::behind(Instant now) const -> bool
+{
+    return this->loaded() && this->awaitedSince != Instant(0)
+           && now - this->awaitedSince >= BehindPatience;
 }
 
 auto MirrorSharing::noteReach(Instant now) -> void
@@ -84,10 +98,10 @@
         return;
     }
     const auto since = std::exchange(this->told, this->mirror.revision());
-    const auto bytes = since > 0 ? encodeBatch(this->mirror.batchOf(keys, since)) : "";
+    const auto bytes = since > 0 ? encodeBatch(this->mirror.batchOf(keys, since, LongestItem)) : "";
     if (!bytes.empty() && bytes.size() <= PeerSocket::MostBytes) {
         this->spread(bytes, FirstFanOut);
-    } // Else the peers fetch the whole mirror.
+    } // Else the others see it by the revision and catch up.
     this->onChanged();
 }
 
@@ -103,10 +117,15 @@
         this->published.take(keys, bootNow());
         this->onChanged();
     }
-    if (this->mirror.revision() > before) {
-        this->told = this->mirror.revision();
+    this->told = std::max(this->told, this->mirror.revision());
+    if (this->mirror.revision() > before || !keys.empty()) {
         this->spread(body, NextFanOut);
     }
+    if (!batch->whole && this->loaded() && batch->until > this->mirror.revision()) {
+        // What was left out is known to be there: no use in waiting for it.
+        this->awaited = std::max(this->awaited, batch->until);
+        this->awaitedSince = bootNow() - BehindPatience;
+    }
     return true;
 }
 
@@ -140,7 +159,8 @@
         this->awaited = newest;
         this->awaitedSince = now;
     }
-    const bool late = !this->loaded() || now - this->awaitedSince > BehindPatience;
+    const bool late =
+        !this->loaded() || now - this->awaitedSince > BehindPatience + CatchUpPatience;
     if (!late || now < this->nextFollowAt || this->peerFetch.busy()) {
         return;
     }
@@ -184,8 +204,8 @@
 auto MirrorSharing::describe(fleet::NodeStatement &statement) const -> void
 {
     statement.storeRevision = this->mirror.revision();
-    statement.storeReached = this->store.reached();
-    statement.storeTried = this->store.active();
+    statement.storeReached = this->watching && this->store.reached();
+    statement.storeTried = this->watching;
 }
 
 } // namespace banyanring::gateway
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -11,8 +11,16 @@
 
 /** Everyone in a small fleet; keeps the bytes of a large one bounded. */
 constexpr std::size_t FanOut = 10;
-/** Rounds between messages with what changes slowly: others' statements, paces, suspects. */
+/** Rounds between messages with what a small fleet hears of often enough. */
 constexpr std::uint64_t FullRounds = 5;
+/**
+ * In a larger fleet each node is heard of by relays, so every second round is left out, the others
+ * relay, and work and admissions, which keepers know better, go with full messages only.
+ */
+constexpr std::size_t LargeFleet = 2 * FanOut;
+constexpr std::uint64_t LargeFleetRounds = 2;
+/** News of a stop is to be everywhere within a second. */
+constexpr std::size_t AnnounceFanOut = 3 * FanOut;
 constexpr int LostRounds = 4; ///< Rounds that may be lost or late before a node is missed.
 constexpr std::size_t RelayedStatements = 8; ///< A sample; news spreads in a few rounds.
 
@@ -52,13 +60,15 @@
     for (const auto &other : message.others) {
         note(other, false);
     }
-    this->loads[message.sender.peerAddress] = message.loads;
+    if (message.workTold) {
+        this->loads[message.sender.peerAddress] = message.loads;
+    }
     this->books.servers.adoptPaces(message.paces);
     this->books.quotas.takePeer(message.sender.incarnation, message.spends, now);
     this->books.suspects.takePeer(message.suspects, now);
     if (message.replyWanted) {
         this->socket.send(message.sender.peerAddress, PeerMessage::Gossip,
-                          this->compose(false, true));
+                          this->compose({false, true, true, true}));
     }
 }
 
@@ -85,46 +95,86 @@
 auto PeerGossip::lag(Instant now) const -> Duration
 {
     const auto nodes = this->books.members.live(now).size();
-    return LostRounds * RoundInterval + RoundInterval * static_cast<std::int64_t>(nodes / FanOut);
+    const auto apart = nodes > LargeFleet ? LargeFleetRounds * FullRounds : 1;
+    return LostRounds * RoundInterval
+           + RoundInterval * static_cast<std::int64_t>(apart * nodes / FanOut);
 }
 
-auto PeerGossip::compose(bool replyWanted, bool full) -> std::string
+auto PeerGossip::compose(const Parts &parts) -> std::string
 {
     const auto now = bootNow();
     fleet::GossipMessage message;
     message.sender = this->statement();
     message.sender.sequence = ++this->sequence;
-    if (full) {
+    message.replyWanted = parts.replyWanted;
+    if (parts.others) {
         message.others = this->books.members.relaySample(RelayedStatements, this->random, now);
+    }
+    if (parts.slow) {
         message.suspects = this->books.suspects.statements(now);
+        message.paces = this->paces();
+    }
+    if (parts.work) {
+        message.workTold = true;
+        message.loads = this->loadsHere();
+        message.spends = this->books.quotas.ownSpends(now);
     }
+    return encodeGossip(message);
+}
+
+auto PeerGossip::loadsHere() const -> std::vector<fleet::LoadStatement>
+{
+    std::vector<fleet::LoadStatement> result;
     for (const auto &[id, server] : this->books.servers.all()) {
-        const auto &pace = server->pace;
         if (server->own.requests > 0) {
-            message.loads.push_back(
-                {server->number, server->own.requests,
-                 static_cast<std::uint32_t>(std::max(0.0, server->own.promptWork))});
+            result.push_back({server->number, server->own.requests,
+                              static_cast<std::uint32_t>(std::max(0.0, server->own.promptWork))});
         }
-        if (full && pace.firstByte.known()) {
-            message.paces.push_back({server->number, static_cast<float>(pace.firstByte.base()),
-                                     static_cast<float>(pace.firstByte.slope()),
-                                     static_cast<float>(pace.outputMsPerToken)});
+    }
+    return result;
+}
+
+auto PeerGossip::paces() const -> std::vector<fleet::PaceStatement>
+{
+    std::vector<fleet::PaceStatement> result;
+    for (const auto &[id, server] : this->books.servers.all()) {
+        const auto &pace = server->pace;
+        if (pace.firstByte.known()) {
+            result.push_back({server->number, static_cast<float>(pace.firstByte.base()),
+                              static_cast<float>(pace.firstByte.slope()),
+                              static_cast<float>(pace.outputMsPerToken)});
         }
     }
-    message.spends = this->books.quotas.ownSpends(now);
-    message.replyWanted = replyWanted;
-    return encodeGossip(message);
+    return result;
 }
 
 auto PeerGossip::sendRound() -> void
 {
     const auto now = bootNow();
-    const auto targets = this->books.members.gossipTargets(FanOut, this->random, now);
+    const auto round = this->rounds++;
+    const auto known = this->books.members.live(now).size();
+    const bool alone = known == 0;
+    const bool large = known > LargeFleet;
+    if (large && round % LargeFleetRounds != 0) {
+        return;
+    }
+    const auto fullRounds = large ? LargeFleetRounds * FullRounds : FullRounds;
+    const bool full = alone || round % fullRounds == 0;
+    this->sendTo(FanOut, {alone, full || large, full, full || !large});
+}
+
+auto PeerGossip::announce() -> void
+{
+    this->sendTo(AnnounceFanOut, {false, false, true, true});
+}
+
+auto PeerGossip::sendTo(std::size_t fanOut, const Parts &parts) -> void
+{
+    const auto targets = this->books.members.gossipTargets(fanOut, this->random, bootNow());
     if (targets.empty()) {
         return;
     }
-    const bool alone = this->books.members.live(now).empty();
-    const auto bytes = this->compose(alone, alone || this->rounds++ % FullRounds == 0);
+    const auto bytes = this->compose(parts);
     for (const auto &target : targets) {
         this->socket.send(target, PeerMessage::Gossip, bytes);
     }
--- a/tests/fleet/platform_tests.cpp
+++ b/tests/fleet/platform_tests.cpp
@@ -316,6 +316,7 @@
         message.sender.phase = fleet::NodePhase::Draining;
         message.others.push_back(message.sender);
         message.others.back().age = milliseconds(40);
+        message.workTold = true;
         message.loads.push_back({7, 3, 1200});
         message.paces.push_back({7, 9.0F, 0.5F, 2.5F});
         message.spends.push_back({9, 100, 60, 50, 7, 30});
@@ -325,6 +326,7 @@
         CPPUNIT_ASSERT(back.has_value());
         CPPUNIT_ASSERT(back->sender.phase == fleet::NodePhase::Draining);
         CPPUNIT_ASSERT(back->others[0].age == milliseconds(40));
+        CPPUNIT_ASSERT(back->workTold);
         CPPUNIT_ASSERT_EQUAL(1200U, back->loads[0].promptWork);
         CPPUNIT_ASSERT_EQUAL(2.5F, back->paces[0].outputMsPerToken);
         CPPUNIT_ASSERT_EQUAL(50.0, back->spends[0].fleetRecent);
@@ -352,10 +354,11 @@
     auto batch_roundTrip_keepsEverything() -> void
     {
         const auto back = gateway::decodeBatch(
-            gateway::encodeBatch({5, 9, {{"a", "1", 7, false}, {"b", "", 9, true}}}));
+            gateway::encodeBatch({5, 9, false, {{"a", "1", 7, false}, {"b", "", 9, true}}}));
         CPPUNIT_ASSERT(back.has_value());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, back->since);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, back->until);
+        CPPUNIT_ASSERT(!back->whole);
         CPPUNIT_ASSERT_EQUAL(std::string("1"), back->changes.at(0).value);
         CPPUNIT_ASSERT(back->changes.at(1).removed);
     }
--- a/tests/fleet/watch_tests.cpp
+++ b/tests/fleet/watch_tests.cpp
@@ -163,6 +163,7 @@
     CPPUNIT_TEST(batch_next_isTaken);
     CPPUNIT_TEST(batch_afterAGap_tellsButDoesNotAdvance);
     CPPUNIT_TEST(batch_toAnEmptyMirror_isNotTaken);
+    CPPUNIT_TEST(batch_longItem_isLeftOutAndTheRestTold);
     CPPUNIT_TEST(watch_laterThanABatch_bringsNothingBack);
     CPPUNIT_TEST(replace_olderThanABatchAfterAGap_keepsWhatItTold);
     CPPUNIT_TEST_SUITE_END();
@@ -177,7 +178,7 @@
     auto change(const std::vector<PublishedChange> &changes, std::uint64_t asOf) -> PublishedBatch
     {
         const auto since = this->watcher.revision();
-        return this->watcher.batchOf(this->watcher.apply(changes, asOf), since);
+        return this->watcher.batchOf(this->watcher.apply(changes, asOf), since, 100);
     }
 
     auto batch_next_isTaken() -> void
@@ -205,12 +206,22 @@
         CPPUNIT_ASSERT(empty.all().empty());
     }
 
+    auto batch_longItem_isLeftOutAndTheRestTold() -> void
+    {
+        const auto batch =
+            this->change({{"a", std::string(200, 'x'), 6, false}, {"b", "2", 7, false}}, 7);
+        CPPUNIT_ASSERT(!batch.whole);
+        CPPUNIT_ASSERT(this->follower.applyBatch(batch) == std::vector<std::string>{"b"});
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), this->follower.find("a")->value);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, this->follower.revision());
+    }
+
     auto watch_laterThanABatch_bringsNothingBack() -> void
     {
         const std::vector<PublishedChange> added{{"c", "1", 6, false}};
         this->change(added, 6);
         const auto removal = this->change({{"c", "", 7, true}}, 7);
-        this->follower.applyBatch({5, 7, removal.changes});
+        this->follower.applyBatch({5, 7, true, removal.changes});
         CPPUNIT_ASSERT(this->follower.apply(added, 6).empty());
         CPPUNIT_ASSERT(this->follower.find("c") == nullptr);
     }
