--- a/src/fleet/slot_desk.cpp
+++ b/src/fleet/slot_desk.cpp
@@ -270,6 +270,7 @@
         }
     }
     std::vector<SlotRoom> rooms;
+    rooms.reserve(sums.size());
     for (const auto &[service, sum] : sums) {
         rooms.push_back({service, sum});
     }
--- a/src/gateway/gossip_codec.cpp
+++ b/src/gateway/gossip_codec.cpp
@@ -47,6 +47,13 @@
     return statement;
 }
 
+/** @return A node's admissions as they were received. */
+auto unpack(const Spend &sent) -> fleet::SpendStatement
+{
+    const auto &[organisation, units, window, recent, asked, pending] = sent;
+    return {organisation, units, window, recent, asked, pending};
+}
+
 /** @return A node's admissions as they are sent. */
 auto pack(const fleet::SpendStatement &spend) -> Spend
 {
@@ -100,7 +107,7 @@
         message.paces.push_back({server, base, promptPace, outputPace});
     }
     for (const auto &spend : std::get<4>(*sent)) {
-        message.spends.push_back(std::make_from_tuple<fleet::SpendStatement>(spend));
+        message.spends.push_back(unpack(spend));
     }
     for (const auto &[fingerprint, servers] : std::get<5>(*sent)) {
         message.suspects.push_back({fingerprint, servers});
@@ -121,8 +128,7 @@
     if (!sent) {
         return std::nullopt;
     }
-    return fleet::SpendReport{std::get<1>(*sent), std::get<2>(*sent),
-                              std::make_from_tuple<fleet::SpendStatement>(std::get<3>(*sent))};
+    return fleet::SpendReport{std::get<1>(*sent), std::get<2>(*sent), unpack(std::get<3>(*sent))};
 }
 
 auto encodeAnswer(const fleet::SpendAnswer &answer) -> std::string
--- a/src/gateway/slot_keeping.cpp
+++ b/src/gateway/slot_keeping.cpp
@@ -319,15 +319,23 @@
     if (own.empty()) {
         return;
     }
-    std::set<std::string> others;
-    for (const auto &[number, keeper] : this->keepers) {
-        if (keeper != this->self) {
-            others.insert(keeper);
+    // Each keeper hears of the services that it keeps servers of as well.
+    std::map<std::string, std::set<std::uint32_t>> servicesOf;
+    for (const auto &[id, server] : this->books.servers.all()) {
+        const auto keeper = this->keepers.find(server->number);
+        if (keeper != this->keepers.end() && keeper->second != this->self) {
+            servicesOf[keeper->second].insert(nameId(server->entry.service));
         }
     }
-    const auto bytes = encodeSlotRooms(own);
-    for (const auto &keeper : others) {
-        this->socket.send(keeper, PeerMessage::SlotRooms, bytes);
+    for (const auto &[keeper, services] : servicesOf) {
+        std::vector<fleet::SlotRoom> told;
+        std::copy_if(own.begin(), own.end(), std::back_inserter(told),
+                     [&services = services](const fleet::SlotRoom &room) {
+                         return services.contains(room.service);
+                     });
+        if (!told.empty()) {
+            this->socket.send(keeper, PeerMessage::SlotRooms, encodeSlotRooms(told));
+        }
     }
 }
 
