--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -3,6 +3,7 @@
 
 #include "banyanring/ports/clock_func.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -108,9 +109,9 @@
     gauge("gossip_received", this->peerSocket.traffic().received);
     gauge("gossip_garbage", this->peerSocket.traffic().garbage);
     gauge("asks_waiting", this->slots.waiting());
-    gauge("kept_servers", std::count_if(this->books.servers.all().begin(),
-                                        this->books.servers.all().end(),
-                                        [](const auto &item) { return item.second->kept; }));
+    gauge("kept_servers",
+          std::count_if(this->books.servers.all().begin(), this->books.servers.all().end(),
+                        [](const auto &item) { return item.second->kept; }));
     gauge("idle_server_connections", this->pool.idleConnections());
     out << "# TYPE banyanring_server_requests gauge\n";
     for (const auto &[id, server] : this->books.servers.all()) {
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -382,32 +382,6 @@
     this->reportSlot(std::exchange(this->slotEvent, std::nullopt).value_or(byVerdict));
 }
 
-auto RequestRun::reportSlot(fleet::SlotEvent event) -> void
-{
-    if (this->scheduler.slotPort == nullptr) {
-        return;
-    }
-    const auto now = this->scheduler.clock();
-    fleet::SlotReport report;
-    report.ask = this->askNumber;
-    report.event = event;
-    if (event == fleet::SlotEvent::Good) {
-        report.firstByte = this->answerAt - this->sentAt;
-        report.rest = now - this->answerAt;
-        report.outputTokens = this->outputTokens;
-    }
-    this->scheduler.slotPort->report(report);
-}
-
-auto RequestRun::holding() const -> std::optional<fleet::SlotHolding>
-{
-    if (!this->exchange) {
-        return std::nullopt;
-    }
-    return fleet::SlotHolding{this->askNumber, this->server->number,
-                              this->promptCounted ? this->shape.promptWork : 0};
-}
-
 auto RequestRun::stalled(Instant now) const -> bool
 {
     if (!this->exchange || this->paused || !this->route->repeatable()
