--- a/include/banyanring/gateway/mirror_sharing.h
+++ b/include/banyanring/gateway/mirror_sharing.h
@@ -64,6 +64,7 @@
     auto behind(Instant now) const -> bool;
     auto noteReach(Instant now) -> void;
     auto followPeers(Instant now) -> void;
+    auto fetchWhole(const std::string &peer) -> void;
     auto takeWhole(const std::string &peer, const FetchResult &result) -> void;
 
     NodeBooks &books;
@@ -81,6 +82,7 @@
     std::uint64_t awaited = 0; ///< Revision that peers had at that moment.
     Instant awaitedSince{}; ///< Since when it is awaited; zero if nothing is.
     Instant nextFollowAt{};
+    int failedFetches = 0; ///< Fetches from peers that failed in a row.
 };
 
 } // namespace banyanring::gateway
--- a/src/gateway/mirror_sharing.cpp
+++ b/src/gateway/mirror_sharing.cpp
@@ -19,8 +19,10 @@
 /** Without an answer of the store by then, a node that is behind asks its peers. */
 constexpr Duration CatchUpPatience = milliseconds(400);
 constexpr Duration FollowInterval = milliseconds(700); ///< Between fetches from peers.
-/** The longest configurations take a second on the slowest links. */
-constexpr Duration PeerFetchTimeout = milliseconds(2500);
+/** A peer that is out of reach costs as much, while an evacuation must be known within seconds. */
+constexpr Duration FirstFetchTimeout = milliseconds(600);
+/** After failures: the longest configurations take a second on the slowest links. */
+constexpr Duration LongestFetchTimeout = milliseconds(2400);
 /** Of an item in a batch; entries of servers have some hundred bytes, configurations may be long.
  */
 constexpr std::size_t LongestItem = 8192;
@@ -170,9 +172,15 @@
     if (newer.empty()) {
         return;
     }
-    this->nextFollowAt = now + FollowInterval;
-    const auto peer = newer.at(this->random() % newer.size())->statement.peerAddress;
-    this->peerFetch.get(peer, Path, PeerFetchTimeout,
+    this->fetchWhole(newer.at(this->random() % newer.size())->statement.peerAddress);
+}
+
+auto MirrorSharing::fetchWhole(const std::string &peer) -> void
+{
+    this->nextFollowAt = bootNow() + FollowInterval;
+    const auto timeout =
+        std::min(LongestFetchTimeout, (1 + this->failedFetches) * FirstFetchTimeout);
+    this->peerFetch.get(peer, Path, timeout,
                         [this, peer](const FetchResult &result) { this->takeWhole(peer, result); });
 }
 
@@ -183,8 +191,11 @@
         logEvent(
             "peer_fetch_failed",
             {{"peer", peer}, {"status", std::int64_t{result.status}}, {"why", result.failure}});
+        ++this->failedFetches;
+        this->nextFollowAt = Instant(0); // Another peer is tried at once.
         return;
     }
+    this->failedFetches = 0;
     const auto before = this->mirror.revision();
     const auto changed = this->mirror.replace(std::move(theirs->items), theirs->revision);
     logEvent("mirror_from_peer", {{"peer", peer},
