--- a/include/banyanring/gateway/mirror_sharing.h
+++ b/include/banyanring/gateway/mirror_sharing.h
@@ -82,6 +82,7 @@
     std::uint64_t awaited = 0; ///< Revision that peers had at that moment.
     Instant awaitedSince{}; ///< Since when it is awaited; zero if nothing is.
     Instant nextFollowAt{};
+    std::set<std::string> failedPeers; ///< Not asked again before all others.
     int failedFetches = 0; ///< Fetches from peers that failed in a row.
 };
 
--- a/src/gateway/mirror_sharing.cpp
+++ b/src/gateway/mirror_sharing.cpp
@@ -172,6 +172,15 @@
     if (newer.empty()) {
         return;
     }
+    auto untried = newer;
+    std::erase_if(untried, [this](const fleet::Member *member) {
+        return this->failedPeers.contains(member->statement.peerAddress);
+    });
+    if (untried.empty()) {
+        this->failedPeers.clear();
+    } else {
+        newer = std::move(untried);
+    }
     this->fetchWhole(newer.at(this->random() % newer.size())->statement.peerAddress);
 }
 
@@ -192,10 +201,12 @@
             "peer_fetch_failed",
             {{"peer", peer}, {"status", std::int64_t{result.status}}, {"why", result.failure}});
         ++this->failedFetches;
+        this->failedPeers.insert(peer);
         this->nextFollowAt = Instant(0); // Another peer is tried at once.
         return;
     }
     this->failedFetches = 0;
+    this->failedPeers.clear();
     const auto before = this->mirror.revision();
     const auto changed = this->mirror.replace(std::move(theirs->items), theirs->revision);
     logEvent("mirror_from_peer", {{"peer", peer},
