--- a/include/banyanring/fleet/admission_queue.h
+++ b/include/banyanring/fleet/admission_queue.h
@@ -97,4 +97,22 @@
     std::unordered_map<std::uint32_t, Usage> usages;
 };
 
+/** Waiting requests of a service, and how fast it serves them. */
+struct ServiceQueue
+{
+    AdmissionQueue waiting;
+    std::size_t running = 0; ///< Requests at servers.
+    double averageMs = 0; ///< Usual time of a request at a server; 0 unknown.
+
+    /** @param took Time that a request took at a server. */
+    auto noteAnswer(Duration took) -> void;
+
+    /**
+     * Expects how long a request waits.
+     * @param ahead Requests that are served before it.
+     * @return The time.
+     */
+    auto expectedWait(std::size_t ahead) const -> Duration;
+};
+
 } // namespace banyanring::fleet
--- a/include/banyanring/fleet/fleet_members.h
+++ b/include/banyanring/fleet/fleet_members.h
@@ -60,6 +60,23 @@
      */
     auto live(Instant now) const -> std::vector<const Member *>;
 
+    /**
+     * Draws some of the nodes that count as alive.
+     * @param most Most nodes.
+     * @param random Source of chance.
+     * @param now The present.
+     * @return The nodes; all of them if there are no more.
+     */
+    auto sample(std::size_t most, std::mt19937_64 &random, Instant now) const
+        -> std::vector<const Member *>;
+
+    /**
+     * Lists the incarnations of the nodes that count as alive.
+     * @param now The present.
+     * @return Their incarnations.
+     */
+    auto incarnations(Instant now) const -> std::set<std::uint64_t>;
+
     /**
      * Counts the nodes heard of within the memory time and this one. A young process, which may
      * not have heard of everyone, assumes at least the usual number.
--- a/include/banyanring/fleet/quota_ledger.h
+++ b/include/banyanring/fleet/quota_ledger.h
@@ -201,8 +201,8 @@
     Duration gossipLag = std::chrono::milliseconds(500); ///< Until the fleet's size is known.
     std::set<std::uint64_t> contact; ///< Incarnations of the peers in contact.
     std::unordered_map<std::uint32_t, Account> accounts;
-    /** By organisation and the peer's incarnation. */
-    std::map<std::pair<std::uint32_t, std::uint64_t>, PeerSpend> peerSpends;
+    /** By organisation, then by the peer's incarnation. */
+    std::unordered_map<std::uint32_t, std::map<std::uint64_t, PeerSpend>> peerSpends;
 };
 
 } // namespace banyanring::fleet
--- a/include/banyanring/fleet/slot_desk.h
+++ b/include/banyanring/fleet/slot_desk.h
@@ -105,20 +105,11 @@
         Instant seenAt{}; ///< It was sent, or sent again.
     };
 
-    /** Asks of one service. */
-    struct ServiceState
-    {
-        AdmissionQueue queue;
-        std::size_t running = 0; ///< Slots given out.
-        double averageMs = 0; ///< Usual time of a request at a server; 0 unknown.
-    };
-
     auto grant(const SlotAsk &ask, const std::string &service, Instant now) -> ServerPtr;
     auto release(std::map<Key, Holding>::iterator holding) -> void;
     auto withdraw(std::uint64_t run) -> void;
     auto learn(const Holding &holding, const SlotReport &report, Instant now) -> void;
-    static auto expectedWait(const ServiceState &state, std::size_t ahead) -> Duration;
-    auto kept(const std::string &service) const -> std::vector<ServerPtr>;
+    auto keeps(const std::string &service) const -> bool;
 
     ServerBook &servers;
     std::function<bool(const Server &, Instant)> usable;
@@ -126,7 +117,7 @@
     std::map<Key, Holding> holdings;
     std::map<Key, std::uint64_t> runs; ///< Queue numbers of the asks that wait.
     std::map<std::uint64_t, Waiting> asks; ///< By queue number.
-    std::map<std::string, ServiceState> states; ///< By service.
+    std::map<std::string, ServiceQueue> queues; ///< Those of all nodes, by service.
     std::uint64_t nextRun = 1;
 };
 
--- a/include/banyanring/gateway/account_keeping.h
+++ b/include/banyanring/gateway/account_keeping.h
@@ -51,8 +51,8 @@
     auto report(std::uint32_t organisation, Account &account, std::uint64_t question, Instant now)
         -> bool;
     auto settle(std::map<std::uint64_t, Question>::iterator question) -> void;
-    auto takeReport(std::string_view body, const std::string &from) -> bool;
-    auto takeAnswer(std::string_view body, const std::string &from) -> bool;
+    auto takeReport(const fleet::SpendReport &report, const std::string &from) -> void;
+    auto takeAnswer(const fleet::SpendAnswer &answer, const std::string &from) -> void;
 
     PeerSocket &socket;
     NodeBooks &books;
--- a/include/banyanring/gateway/peer_socket.h
+++ b/include/banyanring/gateway/peer_socket.h
@@ -60,6 +60,24 @@
         this->handlers[kind] = std::move(handler);
     }
 
+    /**
+     * Sets who takes a kind of message, decoded.
+     * @param kind The kind.
+     * @param decode Gives the message; nothing if the body is none.
+     * @param take Takes the message and the address that it came from.
+     */
+    template <typename Decode, typename Take>
+    auto handleDecoded(PeerMessage kind, Decode decode, Take take) -> void
+    {
+        this->handle(kind, [decode, take](std::string_view body, const std::string &from) {
+            const auto message = decode(body);
+            if (message) {
+                take(*message, from);
+            }
+            return message.has_value();
+        });
+    }
+
     /**
      * Sends a message once.
      * @param address The node's "IP:port".
--- a/include/banyanring/gateway/scheduler.h
+++ b/include/banyanring/gateway/scheduler.h
@@ -166,15 +166,7 @@
 private:
     friend class RequestRun;
 
-    /** Waiting requests of a service and how fast they are served. */
-    struct ServiceQueue
-    {
-        fleet::AdmissionQueue waiting;
-        std::size_t running = 0; ///< This node's requests at servers.
-        double averageMs = 0; ///< Usual time of a request at a server; 0 unknown.
-    };
-
-    auto queueOf(const std::string &service) -> ServiceQueue &
+    auto queueOf(const std::string &service) -> fleet::ServiceQueue &
     {
         return this->queues[service];
     }
@@ -198,7 +190,7 @@
     bool refusing = false;
     bool settling = false;
     std::unordered_map<std::uint64_t, std::unique_ptr<RequestRun>> runs;
-    std::unordered_map<std::string, ServiceQueue> queues;
+    std::unordered_map<std::string, fleet::ServiceQueue> queues; ///< This node's own, by service.
     std::unordered_map<std::string, double> outputs; ///< Usual output tokens by route prefix.
     std::set<std::string> dirty; ///< Services whose queue may move.
     std::deque<RequestRecord> records; ///< Ended requests, oldest first.
--- a/src/fleet/admission_queue.cpp
+++ b/src/fleet/admission_queue.cpp
@@ -11,6 +11,7 @@
 
 /** An organisation's earlier use counts half after it; a burst is to be felt for seconds. */
 constexpr Duration UsageHalfLife = std::chrono::seconds(3);
+constexpr double AverageWeight = 0.05; ///< Weight of one request in the usual time of all.
 
 } // namespace
 
@@ -94,4 +95,17 @@
                       [&](const QueuedRequest &item) { return rank(item) < rank(*found); }));
 }
 
+auto ServiceQueue::noteAnswer(Duration took) -> void
+{
+    const auto tookMs = static_cast<double>(took.count()) / 1000;
+    this->averageMs += (this->averageMs > 0 ? AverageWeight : 1) * (tookMs - this->averageMs);
+}
+
+auto ServiceQueue::expectedWait(std::size_t ahead) const -> Duration
+{
+    const auto served = static_cast<double>(std::max<std::size_t>(1, this->running));
+    return Duration(
+        static_cast<std::int64_t>(static_cast<double>(ahead) * this->averageMs * 1000 / served));
+}
+
 } // namespace banyanring::fleet
--- a/src/fleet/fleet_members.cpp
+++ b/src/fleet/fleet_members.cpp
@@ -65,6 +65,26 @@
     return result;
 }
 
+auto FleetMembers::sample(std::size_t most, std::mt19937_64 &random, Instant now) const
+    -> std::vector<const Member *>
+{
+    auto drawn = this->live(now);
+    if (drawn.size() > most) {
+        std::shuffle(drawn.begin(), drawn.end(), random);
+        drawn.resize(most);
+    }
+    return drawn;
+}
+
+auto FleetMembers::incarnations(Instant now) const -> std::set<std::uint64_t>
+{
+    std::set<std::uint64_t> result;
+    for (const auto *member : this->live(now)) {
+        result.insert(member->statement.incarnation);
+    }
+    return result;
+}
+
 auto FleetMembers::fleetSize(Instant now) const -> std::size_t
 {
     const auto known = this->members.size() + 1;
@@ -114,14 +134,8 @@
     -> std::vector<std::string>
 {
     std::vector<std::string> targets;
-    for (const auto &[address, member] : this->members) {
-        if (alive(member, now)) {
-            targets.push_back(address);
-        }
-    }
-    if (targets.size() > fanOut) {
-        std::shuffle(targets.begin(), targets.end(), random);
-        targets.resize(fanOut);
+    for (const auto *member : this->sample(fanOut, random, now)) {
+        targets.push_back(member->statement.peerAddress);
     }
     if (now < this->nextSeedAt) {
         return targets;
@@ -144,17 +158,12 @@
 auto FleetMembers::relaySample(std::size_t most, std::mt19937_64 &random, Instant now) const
     -> std::vector<NodeStatement>
 {
-    auto known = this->live(now);
-    if (known.size() > most) {
-        std::shuffle(known.begin(), known.end(), random);
-        known.resize(most);
-    }
-    std::vector<NodeStatement> sample;
-    for (const auto *member : known) {
-        sample.push_back(member->statement);
-        sample.back().age = now - member->statedAt;
+    std::vector<NodeStatement> statements;
+    for (const auto *member : this->sample(most, random, now)) {
+        statements.push_back(member->statement);
+        statements.back().age = now - member->statedAt;
     }
-    return sample;
+    return statements;
 }
 
 auto FleetMembers::expire(Instant now) -> void
--- a/src/fleet/quota_ledger.cpp
+++ b/src/fleet/quota_ledger.cpp
@@ -95,16 +95,13 @@
     -> Sums
 {
     Sums result;
-    for (auto peer = this->peerSpends.lower_bound({organisation, 0});
-         peer != this->peerSpends.end() && peer->first.first == organisation; ++peer) {
+    for (auto &[incarnation, spend] : this->peerSpends[organisation]) {
         // A silent peer that was cut off keeps to its own part of the limit; while none is
         // missing, a silent one has restarted.
-        if (peer->first.second != except
-            && (part >= WholePart || this->contact.contains(peer->first.second))) {
-            const double pending =
-                now - peer->second.at < PendingLifetime ? peer->second.pending : 0;
-            result.window += peer->second.window.sum(now) + pending;
-            result.recent += peer->second.window.recentSum(now) + pending;
+        if (incarnation != except && (part >= WholePart || this->contact.contains(incarnation))) {
+            const double pending = now - spend.at < PendingLifetime ? spend.pending : 0;
+            result.window += spend.window.sum(now) + pending;
+            result.recent += spend.window.recentSum(now) + pending;
         }
     }
     return result;
@@ -136,11 +133,13 @@
     -> double
 {
     double perSecond = 0;
-    for (auto peer = this->peerSpends.lower_bound({organisation, 0});
-         peer != this->peerSpends.end() && peer->first.first == organisation; ++peer) {
-        if (peer->first.second != except
-            && now - peer->second.at < std::max(AskedWindow, this->gossipLag)) {
-            perSecond += peer->second.askedPerSecond;
+    const auto told = this->peerSpends.find(organisation);
+    if (told == this->peerSpends.end()) {
+        return perSecond;
+    }
+    for (const auto &[incarnation, spend] : told->second) {
+        if (incarnation != except && now - spend.at < std::max(AskedWindow, this->gossipLag)) {
+            perSecond += spend.askedPerSecond;
         }
     }
     return perSecond;
@@ -170,9 +169,8 @@
         held.own.clear();
         held.before.clear();
         held.told.clear();
-        for (auto peer = this->peerSpends.lower_bound({id, 0});
-             peer != this->peerSpends.end() && peer->first.first == id; ++peer) {
-            peer->second.window.clear();
+        for (auto &[incarnation, spend] : this->peerSpends[id]) {
+            spend.window.clear();
         }
     }
     if (held.limit == 0 && !held.beforeTold) {
@@ -243,9 +241,8 @@
                            Instant now) -> void
 {
     for (const auto &spend : spends) {
-        const auto [known, added] =
-            this->peerSpends.try_emplace(std::pair(spend.organisation, peer),
-                                         PeerSpend{WindowCounter(this->bounds.quotaWindow)});
+        const auto [known, added] = this->peerSpends[spend.organisation].try_emplace(
+            peer, PeerSpend{WindowCounter(this->bounds.quotaWindow)});
         auto &held = known->second;
         const double fresh = spend.units - held.total;
         held.total = spend.units;
@@ -317,8 +314,10 @@
 
 auto QuotaLedger::expire(Instant now) -> void
 {
-    std::erase_if(this->peerSpends,
-                  [&](const auto &item) { return now - item.second.at > PeerMemory; });
+    for (auto &[organisation, peers] : this->peerSpends) {
+        std::erase_if(peers, [&](const auto &item) { return now - item.second.at > PeerMemory; });
+    }
+    std::erase_if(this->peerSpends, [](const auto &item) { return item.second.empty(); });
 }
 
 } // namespace banyanring::fleet
--- a/src/fleet/slot_desk.cpp
+++ b/src/fleet/slot_desk.cpp
@@ -13,7 +13,6 @@
 constexpr Duration AskLifetime = milliseconds(500);
 /** A holder's list may have been composed before the grant reached it. */
 constexpr Duration GrantOnTheWay = milliseconds(300);
-constexpr double AverageWeight = 0.05; ///< Weight of one request in the usual time of all.
 /** Asks behind some that no server can take are rarely better off; bounds the work. */
 constexpr int FailuresPerRound = 4;
 
@@ -25,15 +24,11 @@
 {
 }
 
-auto SlotDesk::kept(const std::string &service) const -> std::vector<ServerPtr>
+auto SlotDesk::keeps(const std::string &service) const -> bool
 {
-    std::vector<ServerPtr> result;
-    for (const auto &server : this->servers.ofService(service)) {
-        if (server->kept) {
-            result.push_back(server);
-        }
-    }
-    return result;
+    const auto &all = this->servers.ofService(service);
+    return std::any_of(all.begin(), all.end(),
+                       [](const ServerPtr &server) { return server->kept; });
 }
 
 auto SlotDesk::take(const SlotAsk &ask, const std::string &service, Instant now) -> SlotReply
@@ -42,23 +37,23 @@
     if (const auto held = this->holdings.find(key); held != this->holdings.end()) {
         return {ask.ask, SlotOutcome::Granted, held->second.server->number, {}};
     }
-    auto &state = this->states[service];
+    auto &queue = this->queues[service];
     if (const auto known = this->runs.find(key); known != this->runs.end()) {
         this->asks.at(known->second).seenAt = now;
-        const auto ahead = state.queue.aheadOf(known->second, now);
-        return {ask.ask, SlotOutcome::Queued, 0, expectedWait(state, ahead)};
+        const auto ahead = queue.waiting.aheadOf(known->second, now);
+        return {ask.ask, SlotOutcome::Queued, 0, queue.expectedWait(ahead)};
     }
     if (const auto server = this->grant(ask, service, now)) {
         return {ask.ask, SlotOutcome::Granted, server->number, {}};
     }
-    if (this->kept(service).empty()) {
+    if (!this->keeps(service)) {
         return {ask.ask, SlotOutcome::Unkept, 0, {}};
     }
-    const auto wait = expectedWait(state, state.queue.ahead(ask.tier, now));
+    const auto wait = queue.expectedWait(queue.waiting.ahead(ask.tier, now));
     const auto run = this->nextRun++;
     this->runs[key] = run;
     this->asks[run] = {ask, service, now};
-    state.queue.push(
+    queue.waiting.push(
         {run, ask.tier, ask.organisation, ask.cost, now + ask.dueIn, now + ask.refuseIn});
     return {ask.ask, SlotOutcome::Queued, 0, wait};
 }
@@ -66,12 +61,13 @@
 auto SlotDesk::grant(const SlotAsk &ask, const std::string &service, Instant now) -> ServerPtr
 {
     const auto mayUse = [&](const Server &server) {
-        return this->usable(server, now)
+        return server.kept && this->usable(server, now)
                && std::find(ask.tried.begin(), ask.tried.end(), server.number) == ask.tried.end();
     };
     // Cold servers are left to the few nodes that may send to them.
     const auto choice = choosePlacement(
-        this->kept(service), ask.shape, mayUse, [](const Server &) { return false; }, now);
+        this->servers.ofService(service), ask.shape, mayUse, [](const Server &) { return false; },
+        now);
     if (!choice.server) {
         return nullptr;
     }
@@ -83,9 +79,9 @@
         ++server.peers.requests;
         server.peers.promptWork += ask.shape.promptWork;
     }
-    auto &state = this->states[service];
-    ++state.running;
-    state.queue.noteServed(ask.organisation, ask.cost, now);
+    auto &queue = this->queues[service];
+    ++queue.running;
+    queue.waiting.noteServed(ask.organisation, ask.cost, now);
     this->holdings[{ask.node, ask.ask}] = std::move(holding);
     return choice.server;
 }
@@ -98,7 +94,7 @@
         --peers.requests;
         peers.promptWork = std::max(0.0, peers.promptWork - holding.promptWork);
     }
-    auto &running = this->states[holding.service].running;
+    auto &running = this->queues[holding.service].running;
     running -= std::min<std::size_t>(1, running);
     this->holdings.erase(held);
 }
@@ -110,7 +106,7 @@
         return;
     }
     const auto &waiting = found->second;
-    this->states[waiting.service].queue.remove(run);
+    this->queues[waiting.service].waiting.remove(run);
     this->runs.erase({waiting.ask.node, waiting.ask.ask});
     this->asks.erase(found);
 }
@@ -143,9 +139,7 @@
 {
     auto &server = *holding.server;
     if (report.event == SlotEvent::Good) {
-        auto &average = this->states[holding.service].averageMs;
-        const double tookMs = static_cast<double>((report.firstByte + report.rest).count()) / 1000;
-        average += (average > 0 ? AverageWeight : 1) * (tookMs - average);
+        this->queues[holding.service].noteAnswer(report.firstByte + report.rest);
     }
     if (report.node == this->self) {
         return; // It has learnt from its own answers already.
@@ -187,7 +181,7 @@
         Holding holding{server, {}, slot.promptWork, 0, now, server->entry.service};
         ++server->peers.requests;
         server->peers.promptWork += slot.promptWork;
-        ++this->states[holding.service].running;
+        ++this->queues[holding.service].running;
         this->holdings[key] = std::move(holding);
     }
     for (auto held = this->holdings.lower_bound({told.node, 0});
@@ -203,15 +197,15 @@
 auto SlotDesk::placeWaiting(Instant now) -> std::vector<AddressedReply>
 {
     std::vector<AddressedReply> grants;
-    for (auto &[service, state] : this->states) {
-        for (const auto run : state.queue.takeExpired(now)) {
+    for (auto &[service, queue] : this->queues) {
+        for (const auto run : queue.waiting.takeExpired(now)) {
             this->withdraw(run);
         }
-        if (state.queue.size() == 0) {
+        if (queue.waiting.size() == 0) {
             continue;
         }
         int failures = 0;
-        for (const auto run : state.queue.order(now)) {
+        for (const auto run : queue.waiting.order(now)) {
             const auto waiting = this->asks.at(run);
             const auto server = this->grant(waiting.ask, service, now);
             if (!server) {
@@ -248,13 +242,6 @@
     }
 }
 
-auto SlotDesk::expectedWait(const ServiceState &state, std::size_t ahead) -> Duration
-{
-    const auto running = static_cast<double>(std::max<std::size_t>(1, state.running));
-    return Duration(
-        static_cast<std::int64_t>(static_cast<double>(ahead) * state.averageMs * 1000 / running));
-}
-
 auto SlotDesk::room(Instant now) const -> std::vector<SlotRoom>
 {
     std::map<std::uint32_t, std::uint32_t> sums;
--- a/src/gateway/account_keeping.cpp
+++ b/src/gateway/account_keeping.cpp
@@ -25,12 +25,14 @@
     : socket(socket), books(books), self(std::move(self)), incarnation(incarnation),
       onTold(std::move(onTold))
 {
-    socket.handle(PeerMessage::Report, [this](std::string_view body, const std::string &from) {
-        return this->takeReport(body, from);
-    });
-    socket.handle(PeerMessage::Total, [this](std::string_view body, const std::string &from) {
-        return this->takeAnswer(body, from);
-    });
+    socket.handleDecoded(PeerMessage::Report, decodeReport,
+                         [this](const fleet::SpendReport &report, const std::string &from) {
+                             this->takeReport(report, from);
+                         });
+    socket.handleDecoded(PeerMessage::Total, decodeAnswer,
+                         [this](const fleet::SpendAnswer &answer, const std::string &from) {
+                             this->takeAnswer(answer, from);
+                         });
 }
 
 auto AccountKeeping::askSpent(std::uint64_t run, const fleet::OrganisationRule &organisation,
@@ -103,36 +105,26 @@
                   [now](const auto &item) { return now - item.second.reportedAt > IdleAfter; });
 }
 
-auto AccountKeeping::takeReport(std::string_view body, const std::string &from) -> bool
+auto AccountKeeping::takeReport(const fleet::SpendReport &report, const std::string &from) -> void
 {
-    const auto report = decodeReport(body);
-    if (!report) {
-        return false;
-    }
     const auto now = bootNow();
     auto &quotas = this->books.quotas;
-    quotas.takePeer(report->incarnation, {report->spend}, now);
-    if (report->question != 0) {
+    quotas.takePeer(report.incarnation, {report.spend}, now);
+    if (report.question != 0) {
         const auto part = this->books.members.reachablePart(now);
         const auto total =
-            quotas.totalFor(report->spend.organisation, report->incarnation, part, now);
-        this->socket.send(from, PeerMessage::Total, encodeAnswer({report->question, total}));
+            quotas.totalFor(report.spend.organisation, report.incarnation, part, now);
+        this->socket.send(from, PeerMessage::Total, encodeAnswer({report.question, total}));
     }
-    return true;
 }
 
-auto AccountKeeping::takeAnswer(std::string_view body, const std::string &from) -> bool
+auto AccountKeeping::takeAnswer(const fleet::SpendAnswer &answer, const std::string &from) -> void
 {
-    const auto answer = decodeAnswer(body);
-    if (!answer) {
-        return false;
-    }
-    this->books.quotas.takeTotal(nameId(from), answer->total, bootNow());
-    const auto found = this->questions.find(answer->question);
+    this->books.quotas.takeTotal(nameId(from), answer.total, bootNow());
+    const auto found = this->questions.find(answer.question);
     if (found != this->questions.end()) {
         this->settle(found);
     }
-    return true;
 }
 
 } // namespace banyanring::gateway
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -2,6 +2,7 @@
 #include "banyanring/gateway/caller_session.h"
 
 #include "banyanring/ports/clock_func.h"
+#include "header_text_func.h"
 #include "request_headers.h"
 #include "socket_options.h"
 
@@ -23,12 +24,6 @@
 constexpr std::size_t ReadAhead = 65536; ///< Most bytes of further requests that are buffered.
 constexpr Duration LingerTime = std::chrono::seconds(1); ///< A caller's crossing bytes come in it.
 
-/** Appends a header line. */
-auto appendField(std::string &out, std::string_view name, std::string_view value) -> void
-{
-    out.append(name).append(": ").append(value).append("\r\n");
-}
-
 /** @return Status line and headers of an answer, without the empty line. */
 auto headText(int status, std::string_view reason, const std::vector<HeaderField> &headers)
     -> std::string
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -229,11 +229,7 @@
     this->shareConnections(now);
     this->books.suspects.expire(now);
     this->books.quotas.expire(now);
-    std::set<std::uint64_t> contact;
-    for (const auto *member : this->books.members.live(now)) {
-        contact.insert(member->statement.incarnation);
-    }
-    this->books.quotas.noteContact(std::move(contact), this->gossip.lag(now));
+    this->books.quotas.noteContact(this->books.members.incarnations(now), this->gossip.lag(now));
     this->books.members.expire(now);
     for (const auto &[address, member] : this->books.members.all()) {
         const bool alive = fleet::FleetMembers::alive(member, now);
--- a/src/gateway/mirror_sharing.cpp
+++ b/src/gateway/mirror_sharing.cpp
@@ -133,10 +133,7 @@
 
 auto MirrorSharing::spread(std::string_view bytes, std::size_t fanOut) -> void
 {
-    auto known = this->books.members.live(bootNow());
-    std::shuffle(known.begin(), known.end(), this->random);
-    known.resize(std::min(known.size(), fanOut));
-    for (const auto *member : known) {
+    for (const auto *member : this->books.members.sample(fanOut, this->random, bootNow())) {
         this->socket.send(member->statement.peerAddress, PeerMessage::Batch, bytes);
     }
 }
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -30,13 +30,9 @@
                        std::function<fleet::NodeStatement()> statement)
     : socket(socket), books(books), statement(std::move(statement)), random(std::random_device{}())
 {
-    socket.handle(PeerMessage::Gossip, [this](std::string_view body, const std::string &) {
-        const auto message = decodeGossip(body);
-        if (message) {
-            this->take(*message);
-        }
-        return message.has_value();
-    });
+    socket.handleDecoded(
+        PeerMessage::Gossip, decodeGossip,
+        [this](const fleet::GossipMessage &message, const std::string &) { this->take(message); });
 }
 
 auto PeerGossip::take(const fleet::GossipMessage &message) -> void
--- a/src/gateway/request_exchange.cpp
+++ b/src/gateway/request_exchange.cpp
@@ -19,7 +19,6 @@
 constexpr double TargetStall = 2.5; ///< Times the latency target, before the first byte.
 constexpr double GapStall = 4; ///< Times the longest pause, inside a stream.
 constexpr int BusyStall = 2; ///< Times longer, while the server answers other requests.
-constexpr double AverageWeight = 0.05; ///< Weight of one request in the usual time of all.
 constexpr std::size_t MostUnsent = 262144; ///< A slow caller stops the reading beyond it.
 constexpr int FirstFailureStatus = 500; ///< Statuses from here are failures of the server.
 constexpr int SuccessClass = 2; ///< Statuses of 200 to 299.
@@ -357,9 +356,7 @@
     auto &queue = this->scheduler.queueOf(this->service);
     --queue.running;
     if (verdict == fleet::ServerVerdict::Good) {
-        const auto tookMs =
-            static_cast<double>((this->scheduler.clock() - this->sentAt).count()) / 1000;
-        queue.averageMs += (queue.averageMs > 0 ? AverageWeight : 1) * (tookMs - queue.averageMs);
+        queue.noteAnswer(this->scheduler.clock() - this->sentAt);
     }
     --target.own.requests;
     if (this->promptCounted) {
--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -203,9 +203,7 @@
 auto Scheduler::expectedWait(const std::string &service, std::uint32_t tier) -> Duration
 {
     const auto &queue = this->queues[service];
-    const auto ahead = static_cast<double>(queue.waiting.ahead(tier, this->clock()));
-    const auto running = static_cast<double>(std::max<std::size_t>(1, queue.running));
-    return Duration(static_cast<std::int64_t>(ahead * queue.averageMs * 1000 / running));
+    return queue.expectedWait(queue.waiting.ahead(tier, this->clock()));
 }
 
 auto Scheduler::reap() -> void
--- a/src/gateway/slot_keeping.cpp
+++ b/src/gateway/slot_keeping.cpp
@@ -24,6 +24,12 @@
 constexpr std::uint64_t RoomTicks = 2; ///< Ticks between tellings of room.
 constexpr Duration RoomLifetime = milliseconds(300); ///< Three tellings.
 
+/** @return A report that an ask, or the slot that it got, is not needed. */
+auto withdrawalOf(std::uint64_t node, std::uint64_t ask) -> fleet::SlotReport
+{
+    return {node, ask, fleet::SlotEvent::Neutral, {}, {}, 0};
+}
+
 } // namespace
 
 SlotKeeping::SlotKeeping(PeerSocket &socket, NodeBooks &books, std::string self,
@@ -42,35 +48,25 @@
 
 auto SlotKeeping::handleMessages() -> void
 {
-    // Each handler says whether the datagram was a message, and passes it on.
-    const auto handle = [this](PeerMessage kind, auto decode, auto take) {
-        this->socket.handle(kind, [decode, take](std::string_view body, const std::string &from) {
-            const auto message = decode(body);
-            if (message) {
-                take(*message, from);
-            }
-            return message.has_value();
-        });
-    };
-    handle(PeerMessage::SlotAsk, decodeSlotAsk,
-           [this](const fleet::SlotAsk &ask, const std::string &) { this->takeAsk(ask); });
-    handle(PeerMessage::SlotReply, decodeSlotReply,
-           [this](const fleet::SlotReply &reply, const std::string &from) {
-               this->takeReply(reply, from);
-           });
-    handle(PeerMessage::SlotReport, decodeSlotReport,
-           [this](const fleet::SlotReport &report, const std::string &) {
-               this->desk.report(report, bootNow());
-               this->giveOut();
-           });
-    handle(PeerMessage::SlotHoldings, decodeSlotHoldings,
-           [this](const fleet::SlotHoldings &holdings, const std::string &) {
-               this->desk.takeHoldings(holdings, bootNow());
-           });
-    handle(PeerMessage::SlotRooms, decodeSlotRooms,
-           [this](const std::vector<fleet::SlotRoom> &told, const std::string &from) {
-               this->takeRooms(told, from);
-           });
+    this->socket.handleDecoded(
+        PeerMessage::SlotAsk, decodeSlotAsk,
+        [this](const fleet::SlotAsk &ask, const std::string &) { this->takeAsk(ask); });
+    this->socket.handleDecoded(PeerMessage::SlotReply, decodeSlotReply,
+                               [this](const fleet::SlotReply &reply, const std::string &from) {
+                                   this->takeReply(reply, from);
+                               });
+    this->socket.handleDecoded(PeerMessage::SlotReport, decodeSlotReport,
+                               [this](const fleet::SlotReport &report, const std::string &) {
+                                   this->desk.report(report, bootNow());
+                                   this->giveOut();
+                               });
+    this->socket.handleDecoded(PeerMessage::SlotHoldings, decodeSlotHoldings,
+                               [this](const fleet::SlotHoldings &holdings, const std::string &) {
+                                   this->desk.takeHoldings(holdings, bootNow());
+                               });
+    this->socket.handleDecoded(PeerMessage::SlotRooms, decodeSlotRooms,
+                               [this](const std::vector<fleet::SlotRoom> &told,
+                                      const std::string &from) { this->takeRooms(told, from); });
 }
 
 auto SlotKeeping::ask(fleet::SlotAsk ask, const std::string &service)
@@ -108,7 +104,7 @@
     if (other.empty()) {
         return false;
     }
-    this->desk.report({ask.node, ask.ask, fleet::SlotEvent::Neutral, {}, {}, 0}, now);
+    this->desk.report(withdrawalOf(ask.node, ask.ask), now);
     ask.forwarded = true;
     this->socket.send(other, PeerMessage::SlotAsk, encodeSlotAsk(ask));
     return true;
@@ -133,9 +129,8 @@
     const auto found = this->pending.find(reply.ask);
     if (found == this->pending.end()) {
         if (reply.outcome != fleet::SlotOutcome::Unkept) {
-            const auto gone = fleet::SlotReport{
-                this->incarnation, reply.ask, fleet::SlotEvent::Neutral, {}, {}, 0};
-            this->socket.send(from, PeerMessage::SlotReport, encodeSlotReport(gone));
+            this->socket.send(from, PeerMessage::SlotReport,
+                              encodeSlotReport(withdrawalOf(this->incarnation, reply.ask)));
         }
         return;
     }
@@ -163,7 +158,7 @@
 
 auto SlotKeeping::withdraw(std::uint64_t ask) -> void
 {
-    this->report({0, ask, fleet::SlotEvent::Neutral, {}, {}, 0});
+    this->report(withdrawalOf(this->incarnation, ask));
 }
 
 auto SlotKeeping::report(fleet::SlotReport report) -> void
@@ -244,10 +239,8 @@
     }
     if (this->ticks % HoldingTicks == 0) {
         this->tellHoldings(now);
-        std::set<std::uint64_t> nodes{this->incarnation};
-        for (const auto *member : this->books.members.live(now)) {
-            nodes.insert(member->statement.incarnation);
-        }
+        auto nodes = this->books.members.incarnations(now);
+        nodes.insert(this->incarnation);
         this->desk.expire(nodes, now);
     }
     ++this->ticks;
