Log the prompt parts of runs that a server's crash ended

Cause: the logs could not tell whether a suspect that crashes servers is missed by its identity, by its spread over nodes or by clearing. No decision changes.

--- a/include/banyanring/gateway/active_request.h
+++ b/include/banyanring/gateway/active_request.h
@@ -136,6 +136,7 @@
     auto finish(RequestOutcome outcome, int status) -> void;
     auto addStep(std::string_view name, std::string detail = {}) -> void;
     auto writeLog(RequestOutcome outcome, int status) -> void;
+    auto logLostRun(std::string_view reason) const -> void;
     auto isStalled(Instant now) const -> bool;
     auto callerTimeout() const -> Duration;
     auto retryAfter(Duration wait) const -> Duration;
--- a/include/banyanring/gateway/request_type.h
+++ b/include/banyanring/gateway/request_type.h
@@ -27,6 +27,8 @@
     double maxOutputTokens = 0; ///< Upper limit of output tokens.
     /** Number of output tokens that the caller expects. */
     std::optional<double> expectedOutputTokens;
+    /** Ids of the prompt parts that other requests may contain as well, without duplicates. */
+    std::vector<std::uint64_t> sharedPromptParts;
     std::optional<std::uint64_t> lastEventId; ///< Id of the event after which to resume a stream.
     std::vector<HeaderField> headers; ///< Headers to forward to a backend server.
     std::string body; ///< Complete body.
--- a/src/gateway/active_request_exchange.cpp
+++ b/src/gateway/active_request_exchange.cpp
@@ -3,6 +3,8 @@
 #include "banyanring/gateway/active_request.h"
 #include "request_headers.h"
 
+#include <sstream>
+
 namespace banyanring::gateway {
 
 namespace {
@@ -27,6 +29,14 @@
 constexpr int SuccessStatusClass = 2; ///< Statuses 200 to 299.
 constexpr int StatusClassSize = 100; ///< Number of statuses in a class.
 
+/** @return @p number in hexadecimal. */
+auto formatHex(std::uint64_t number) -> std::string
+{
+    std::ostringstream text;
+    text << std::hex << number;
+    return text.str();
+}
+
 /** @return Whether a status states that the request was not executed. */
 auto impliesNotExecuted(int status) -> bool
 {
@@ -312,6 +322,7 @@
     this->mayHaveExecuted = true;
     ++this->possibleExecutions;
     if (reason == "no_answer" || reason == "truncated") {
+        this->logLostRun(reason);
         auto &suspects = this->scheduler.state.crashSuspects;
         suspects.recordCrash(this->fingerprint, this->server->hash, now);
         if (suspects.isBlocked(this->fingerprint, now)) {
@@ -327,6 +338,19 @@
     this->failMaybeExecuted(502, RequestOutcome::ServerFailed);
 }
 
+auto ActiveRequest::logLostRun(std::string_view reason) const -> void
+{
+    std::vector<std::string> parts;
+    for (const auto part : this->request.sharedPromptParts) {
+        parts.push_back(formatHex(part));
+    }
+    logEvent("run_lost", {{"request_id", this->request.attemptId},
+                          {"server", this->server->registration.id},
+                          {"reason", std::string(reason)},
+                          {"stream_started", this->streamStarted},
+                          {"prompt_parts", std::move(parts)}});
+}
+
 auto ActiveRequest::tryTakeRetry() -> bool
 {
     auto &state = this->scheduler.state;
