Block prompt parts that crash servers, by the fleet's merged records

Callers saw: servers crashed one after the other, each with the streams of about ten callers, as long as requests with one prompt part came. Cause: a crash suspect was a hash of the whole request. Requests that share only the deadly part never have the same hash (class of fault: an identity too narrow for the failure). Also, clearing was local: a late report of a peer brought cleared crashes back, and gossip sent an arbitrary 16 suspects. Change: the shared prompt parts of a run are suspects too if their server's connection closes before the answer has lasted 300 ms. Three crashes with separate causes block a part. An answer refutes all crashes before it, on every node and in whichever order reports arrive, so parts in use are cleared faster than crashes add up. Suspects are checked again before each dispatch. News is in each gossip message for 2 s, the most crashed first, at most 24; the table holds 4,096 hashes. A block is tried again by one node after 30 s, then rarer, so a wrong one ends.

--- a/include/banyanring/fleet/crash_suspects.h
+++ b/include/banyanring/fleet/crash_suspects.h
@@ -1,33 +1,40 @@
-/** @file crash_suspects.h Detects requests that crash the backend servers that run them. */
+/** @file crash_suspects.h Detects requests and prompt parts that crash the backend servers. */
 #pragma once
 
 #include "banyanring/fleet/peer_state_type.h"
 
-#include <set>
+#include <limits>
 #include <unordered_map>
 
 namespace banyanring::fleet {
 
 /**
- * Records which backend servers crashed while they ran a request, and blocks requests that were
- * running at several of them.
+ * Records which backend servers crashed while they ran a request or a prompt part, and blocks those
+ * that were running at several crashes. A suspect is identified by a hash, of a whole request or of
+ * a part of a prompt.
+ *
+ * All nodes' records are merged by gossip. An answer refutes the crashes before it, whichever
+ * arrives first, so a part that is in constant use is cleared faster than crashes add up.
  */
 class CrashSuspects
 {
 public:
     /**
-     * Records that a server closed the connection without a response.
-     * @param fingerprint Fingerprint of the request.
+     * Records that a server closed the connection while it ran a request.
+     * @param suspect Hash of the suspect.
      * @param serverHash Hash of the server.
+     * @param startedAt Start of the run.
      * @param now Current time.
      */
-    auto recordCrash(std::uint64_t fingerprint, std::uint32_t serverHash, Instant now) -> void;
+    auto recordCrash(std::uint64_t suspect, std::uint32_t serverHash, Instant startedAt,
+                     Instant now) -> void;
 
     /**
-     * Clears a request that was answered, as it does not crash servers.
-     * @param fingerprint Fingerprint of the request.
+     * Records an answer that the server survived; it refutes all earlier crashes.
+     * @param suspect Hash of the suspect.
+     * @param answeredAt Time of the answer.
      */
-    auto clear(std::uint64_t fingerprint) -> void;
+    auto recordAnswer(std::uint64_t suspect, Instant answeredAt) -> void;
 
     /**
      * Merges a peer's records.
@@ -37,35 +44,95 @@
     auto mergePeerReports(const std::vector<CrashSuspectReport> &reports, Instant now) -> void;
 
     /**
-     * Checks whether a request must be rejected.
-     * @param fingerprint Fingerprint of the request.
+     * Checks whether requests with a suspect must be rejected.
+     * @param suspect Hash of the suspect.
      * @param now Current time.
      * @return Whether enough servers crashed while they ran it.
      */
-    auto isBlocked(std::uint64_t fingerprint, Instant now) const -> bool;
+    auto isBlocked(std::uint64_t suspect, Instant now) const -> bool;
 
     /**
-     * Lists the recent suspects for gossip, at most as many as one message may hold.
+     * Checks whether one request with a blocked suspect may run, to find out whether it is still
+     * blocked rightly. Only one node of the fleet may make use of it.
+     * @param suspect Hash of the suspect.
+     * @param now Current time.
+     * @return Whether the last crash and the last trial are long enough ago.
+     */
+    auto isTrialDue(std::uint64_t suspect, Instant now) const -> bool;
+
+    /**
+     * Records that a request with a blocked suspect is run.
+     * @param suspect Hash of the suspect.
+     * @param now Current time.
+     */
+    auto recordTrial(std::uint64_t suspect, Instant now) -> void;
+
+    /**
+     * Lists suspects for gossip, the most important ones first and at most as many as one message
+     * may hold.
      * @param now Current time.
      * @return The suspects.
      */
     auto reports(Instant now) const -> std::vector<CrashSuspectReport>;
 
+    /** @return Whether a suspect has changed so recently that peers may not know it. */
+    auto hasNews(Instant now) const -> bool
+    {
+        return now - this->lastChangeAt < NewsLifetime;
+    }
+
     /**
-     * Removes old suspects.
+     * Removes old records.
      * @param now Current time.
      */
     auto expire(Instant now) -> void;
 
+    /** @return Number of hashes stored, including those of answered requests. */
+    auto size() const -> std::size_t
+    {
+        return this->suspects.size();
+    }
+
+    static constexpr std::size_t BlockingCrashes = 3; ///< Fewer may be coincidence.
+    static constexpr std::size_t MaxSuspects = 4096; ///< Bounds the memory of the table.
+    static constexpr std::size_t MaxReports = 24; ///< Limits the size of a gossip message.
+
 private:
-    /** Crash record of one request. */
+    /** Gossip of every node has arrived everywhere after this time. */
+    static constexpr Duration NewsLifetime = std::chrono::seconds(2);
+    static constexpr Instant LongAgo{std::numeric_limits<Instant::rep>::min() / 2};
+
+    /** Crash of one start of a server. */
+    struct Crash
+    {
+        std::uint32_t serverHash = 0;
+        Instant startedAt{}; ///< The cause of the crash began after this time.
+        Instant crashedAt{};
+
+        /** @return Whether both may have one cause that is not the suspect, such as a power loss.
+         */
+        auto mayShareCause(const Crash &other) const -> bool;
+    };
+
+    /** Records of one suspect. */
     struct Suspect
     {
-        std::set<std::uint32_t> serverHashes;
-        Instant lastCrashAt{};
+        /** By time, after the last answer; each with a cause of its own. */
+        std::vector<Crash> crashes;
+        Instant answeredAt = LongAgo;
+        Instant changedAt = LongAgo; ///< Last change that peers have to know.
+        Instant trialAt = LongAgo;
+        std::size_t maxCrashes = 0; ///< Most crashes that this node or a peer has counted.
     };
 
+    auto addCrash(Suspect &suspect, const Crash &crash, Instant now) -> void;
+    auto refute(Suspect &suspect, Instant answeredAt) -> bool;
+    auto entry(std::uint64_t hash) -> Suspect &;
+    static auto expiryTime(const Suspect &suspect) -> Instant;
+    static auto crashRetention(std::size_t crashes) -> Duration;
+
     std::unordered_map<std::uint64_t, Suspect> suspects;
+    Instant lastChangeAt = LongAgo;
 };
 
 } // namespace banyanring::fleet
--- a/include/banyanring/fleet/fleet_members.h
+++ b/include/banyanring/fleet/fleet_members.h
@@ -104,6 +104,17 @@
      */
     auto maySendToCold(std::uint32_t serverHash, std::size_t senders, Instant now) const -> bool;
 
+    /**
+     * Checks whether this node is the first coordinator of a key.
+     * @param key Hash of what is coordinated.
+     * @param now Current time.
+     * @return Whether it is, as far as this node knows.
+     */
+    auto isCoordinator(std::uint32_t key, Instant now) const -> bool
+    {
+        return this->coordinators(key, 1, now).front() == this->self;
+    }
+
     /**
      * Chooses coordinators by rendezvous hashing among the nodes that are ready and considered
      * alive, this one included.
--- a/include/banyanring/fleet/peer_state_type.h
+++ b/include/banyanring/fleet/peer_state_type.h
@@ -5,6 +5,7 @@
 
 #include "banyanring/core/ids_type.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -86,11 +87,20 @@
     UsageTotal total; ///< Admitted by all nodes except the querying one.
 };
 
-/** A request that was running at backend servers when they crashed. */
+/** Crash of a backend server while it ran a suspect. */
+struct CrashReport
+{
+    std::uint32_t serverHash = 0; ///< Hash of the server.
+    Duration age{}; ///< Time since the crash.
+    Duration runTime{}; ///< Time before the crash in which its cause may have begun.
+};
+
+/** A request or prompt part that was running at backend servers when they crashed. */
 struct CrashSuspectReport
 {
-    std::uint64_t fingerprint = 0; ///< Hash of path, caller and body.
-    std::vector<std::uint32_t> serverHashes; ///< Hashes of the servers.
+    std::uint64_t suspect = 0; ///< Hash of the request or of the prompt part.
+    std::optional<Duration> answerAge; ///< Time since it was last answered, if recently.
+    std::vector<CrashReport> crashes; ///< Crashes after that answer.
 };
 
 /** One gossip message. */
--- a/include/banyanring/gateway/active_request.h
+++ b/include/banyanring/gateway/active_request.h
@@ -136,7 +136,13 @@
     auto finish(RequestOutcome outcome, int status) -> void;
     auto addStep(std::string_view name, std::string detail = {}) -> void;
     auto writeLog(RequestOutcome outcome, int status) -> void;
-    auto logLostRun(std::string_view reason) const -> void;
+    auto computeSuspects() -> void;
+    auto isCrashSuspect() const -> bool;
+    auto tryStartTrial() -> bool;
+    auto rejectCrashSuspect() -> bool;
+    auto recordLostRun(std::string_view reason) -> void;
+    auto hasAnswered(Instant now) const -> bool;
+    auto recordAnswer(Instant answeredAt) -> void;
     auto isStalled(Instant now) const -> bool;
     auto callerTimeout() const -> Duration;
     auto retryAfter(Duration wait) const -> Duration;
@@ -153,7 +159,9 @@
     const fleet::OrganisationConfig *organisation = nullptr;
     std::string service;
     fleet::RequestProfile profile;
-    std::uint64_t fingerprint = 0;
+    std::uint64_t fingerprint = 0; ///< Hash of the whole request, a possible crash suspect.
+    std::vector<std::uint64_t> partSuspects; ///< Hashes of its prompt parts, the same.
+    bool onTrial = false; ///< A crash suspect that is run to find out whether it still is one.
     double chargedUnits = 0; ///< Charged to the organisation's quota.
     Instant deadline{}; ///< Deadline of the final response.
     Instant firstByteAt{}; ///< First byte sent to the caller; 0 for none.
@@ -167,6 +175,8 @@
     Instant sentAt{};
     Instant responseAt{}; ///< First byte of the response of the current exchange.
     Instant lastDataAt{};
+    std::optional<Instant> answerBeganAt; ///< First event of the current exchange.
+    bool answerRecorded = false; ///< The server has survived the start of the answer.
     double promptWorkAhead = 0; ///< Prompt work at the server at dispatch, its own included.
     bool promptCounted = false; ///< Its prompt work is included in the server's load.
     std::string body; ///< Body of a response that is not streamed.
--- a/include/banyanring/gateway/peer_gossip.h
+++ b/include/banyanring/gateway/peer_gossip.h
@@ -41,7 +41,7 @@
         /** Requests a message in return; set while no other node is alive. */
         bool replyRequested = false;
         bool relayedStatuses = false; ///< Statuses of other nodes.
-        bool slowlyChanging = false; ///< Server latencies and crash suspects.
+        bool slowlyChanging = false; ///< Server latencies and known crash suspects.
         bool loadsAndUsages = false; ///< Own load on the servers and own quota usages.
     };
 
--- a/src/gateway/active_request.cpp
+++ b/src/gateway/active_request.cpp
@@ -6,7 +6,6 @@
 #include "seconds_text_func.h"
 
 #include <algorithm>
-#include <boost/container_hash/hash.hpp>
 
 namespace banyanring::gateway {
 
@@ -118,11 +117,8 @@
     const auto timeout = this->route->timeout > Duration(0) ? this->route->timeout : DefaultTimeout;
     this->deadline =
         this->request.arrivedAt + std::min(timeout, this->request.timeLeft.value_or(timeout));
-    boost::hash_combine(this->fingerprint, this->request.target);
-    boost::hash_combine(this->fingerprint, this->request.body);
-    boost::hash_combine(this->fingerprint, this->organisation ? this->organisation->name : "");
-    if (state.crashSuspects.isBlocked(this->fingerprint, this->scheduler.clock())) {
-        this->reject(503, RequestOutcome::CrashSuspect, MaxRetryAfter);
+    this->computeSuspects();
+    if (this->rejectCrashSuspect()) {
         return;
     }
     auto *quotaPort = this->scheduler.quotaPort;
--- a/src/gateway/active_request_exchange.cpp
+++ b/src/gateway/active_request_exchange.cpp
@@ -3,8 +3,6 @@
 #include "banyanring/gateway/active_request.h"
 #include "request_headers.h"
 
-#include <sstream>
-
 namespace banyanring::gateway {
 
 namespace {
@@ -29,14 +27,6 @@
 constexpr int SuccessStatusClass = 2; ///< Statuses 200 to 299.
 constexpr int StatusClassSize = 100; ///< Number of statuses in a class.
 
-/** @return @p number in hexadecimal. */
-auto formatHex(std::uint64_t number) -> std::string
-{
-    std::ostringstream text;
-    text << std::hex << number;
-    return text.str();
-}
-
 /** @return Whether a status states that the request was not executed. */
 auto impliesNotExecuted(int status) -> bool
 {
@@ -47,7 +37,7 @@
 
 auto ActiveRequest::tryPlace() -> bool
 {
-    return this->placeLocally(false);
+    return this->rejectCrashSuspect() || this->placeLocally(false);
 }
 
 auto ActiveRequest::placeLocally(bool coldOnly) -> bool
@@ -113,6 +103,8 @@
     this->eventParser.reset();
     this->sentAt = now;
     this->lastDataAt = now;
+    this->answerBeganAt.reset();
+    this->answerRecorded = false;
     platform::DispatchHeaders headers;
     headers.server = server->registration.id;
     if (this->organisation != nullptr) {
@@ -182,6 +174,11 @@
             this->maxEventGap = std::max(this->maxEventGap, now - this->lastEventAt);
         }
         this->lastEventAt = now;
+        if (!this->answerBeganAt) {
+            this->answerBeganAt = now;
+        } else if (this->hasAnswered(now)) {
+            this->recordAnswer(*this->answerBeganAt);
+        }
         if (!this->streamStarted) {
             this->streamStarted = true;
             this->firstByteAt = now;
@@ -218,7 +215,9 @@
             this->recordResponseStats();
             this->endExchange(fleet::AttemptOutcome::Succeeded);
             this->caller->endStream();
-            this->scheduler.state.crashSuspects.clear(this->fingerprint);
+            this->recordAnswer(this->answerBeganAt.value_or(this->sentAt));
+            this->scheduler.state.crashSuspects.recordAnswer(this->fingerprint,
+                                                             this->scheduler.clock());
             this->finish(RequestOutcome::Answered, this->response.status);
         }
     } else {
@@ -249,7 +248,10 @@
     }
     this->endExchange(serverError ? fleet::AttemptOutcome::Failed
                                   : fleet::AttemptOutcome::Succeeded);
-    this->scheduler.state.crashSuspects.clear(this->fingerprint);
+    this->scheduler.state.crashSuspects.recordAnswer(this->fingerprint, this->scheduler.clock());
+    if (success) {
+        this->recordAnswer(this->responseAt);
+    }
     if (this->streamStarted) {
         // A stream that has been started cannot be replaced by another response.
         this->failMaybeExecuted(502, RequestOutcome::ServerFailed);
@@ -322,12 +324,7 @@
     this->mayHaveExecuted = true;
     ++this->possibleExecutions;
     if (reason == "no_answer" || reason == "truncated") {
-        this->logLostRun(reason);
-        auto &suspects = this->scheduler.state.crashSuspects;
-        suspects.recordCrash(this->fingerprint, this->server->hash, now);
-        if (suspects.isBlocked(this->fingerprint, now)) {
-            logEvent("crash_suspect", {{"request_id", this->request.attemptId}, {"server", id}});
-        }
+        this->recordLostRun(reason);
     }
     this->endExchange(fleet::AttemptOutcome::Failed);
     this->addStep("server_failed", id + " " + std::string(reason));
@@ -338,26 +335,12 @@
     this->failMaybeExecuted(502, RequestOutcome::ServerFailed);
 }
 
-auto ActiveRequest::logLostRun(std::string_view reason) const -> void
-{
-    std::vector<std::string> parts;
-    for (const auto part : this->request.sharedPromptParts) {
-        parts.push_back(formatHex(part));
-    }
-    logEvent("run_lost", {{"request_id", this->request.attemptId},
-                          {"server", this->server->registration.id},
-                          {"reason", std::string(reason)},
-                          {"stream_started", this->streamStarted},
-                          {"prompt_parts", std::move(parts)}});
-}
-
 auto ActiveRequest::tryTakeRetry() -> bool
 {
     auto &state = this->scheduler.state;
     const auto now = this->scheduler.clock();
     return this->route->isRetryable() && this->possibleExecutions < this->route->maxAttempts
-           && now + MinRetryTime < this->deadline
-           && !state.crashSuspects.isBlocked(this->fingerprint, now)
+           && now + MinRetryTime < this->deadline && !this->isCrashSuspect()
            && state.retryBudget.tryTake(this->service, state.members.fleetSize(now), now);
 }
 
--- a/src/gateway/active_request_slots.cpp
+++ b/src/gateway/active_request_slots.cpp
@@ -18,7 +18,7 @@
     if (this->scheduler.slotPort == nullptr) {
         return false;
     }
-    if (this->placeLocally(true)) {
+    if (this->rejectCrashSuspect() || this->placeLocally(true)) {
         return true;
     }
     const auto now = this->scheduler.clock();
@@ -60,6 +60,10 @@
                             : nullptr;
     if (server && this->scheduler.isUsable(*server, this->scheduler.clock())
         && !this->triedServers.contains(server->registration.id)) {
+        if (this->rejectCrashSuspect()) {
+            this->scheduler.slotPort->cancelSlotRequest(reply.requestId);
+            return;
+        }
         this->scheduler.queueOf(this->service).waiting.remove(this->number);
         this->queued = false;
         this->dispatch(server);
--- a/src/gateway/gossip_codec.cpp
+++ b/src/gateway/gossip_codec.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
+constexpr std::int64_t NoAnswer = -1; ///< Sent for a suspect that was not answered recently.
+
 using StatusTuple =
     std::tuple<std::string, std::string, std::string, std::uint64_t, std::uint64_t, std::uint8_t,
                std::uint64_t, std::uint64_t, bool, bool, std::int64_t>;
@@ -15,7 +19,9 @@
 using UsageTuple = std::tuple<std::uint32_t, double, double, double, double, double>;
 using UsageReportTuple = std::tuple<int, std::uint64_t, std::uint64_t, UsageTuple>;
 using UsageReplyTuple = std::tuple<int, std::uint64_t, std::uint32_t, double, double, double, bool>;
-using SuspectTuple = std::tuple<std::uint64_t, std::vector<std::uint32_t>>;
+/** Suspect, servers, age of the last answer, ages of the crashes, run times; times in ms. */
+using SuspectTuple = std::tuple<std::uint64_t, std::vector<std::uint32_t>, std::int64_t,
+                                std::vector<std::uint32_t>, std::vector<std::uint32_t>>;
 using GossipTuple = std::tuple<int, StatusTuple, std::vector<StatusTuple>, std::vector<LoadTuple>,
                                std::vector<UsageTuple>, std::vector<SuspectTuple>, bool,
                                std::vector<LatencyTuple>, bool>;
@@ -56,6 +62,49 @@
     return {organisation, totalUnits, windowUnits, fleetWindowUnits, demandPerSecond, pendingUnits};
 }
 
+/** @return A time of a received message, given in milliseconds. */
+auto toDuration(std::uint32_t timeMs) -> Duration
+{
+    return milliseconds(timeMs);
+}
+
+/** @return A time in whole milliseconds. */
+auto toMs(Duration time) -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, time / milliseconds(1)));
+}
+
+/** @return The tuple that is sent for a crash suspect. */
+auto toTuple(const fleet::CrashSuspectReport &report) -> SuspectTuple
+{
+    SuspectTuple tuple{report.suspect, {}, NoAnswer, {}, {}};
+    if (report.answerAge) {
+        std::get<2>(tuple) = toMs(*report.answerAge);
+    }
+    for (const auto &crash : report.crashes) {
+        std::get<1>(tuple).push_back(crash.serverHash);
+        std::get<3>(tuple).push_back(toMs(crash.age));
+        std::get<4>(tuple).push_back(toMs(crash.runTime));
+    }
+    return tuple;
+}
+
+/** @return The crash suspect of a received tuple; a crash without a time has just happened. */
+auto fromTuple(const SuspectTuple &tuple) -> fleet::CrashSuspectReport
+{
+    const auto &[suspect, serverHashes, answerAgeMs, agesMs, runTimesMs] = tuple;
+    fleet::CrashSuspectReport report{suspect, std::nullopt, {}};
+    if (answerAgeMs >= 0) {
+        report.answerAge = toDuration(static_cast<std::uint32_t>(answerAgeMs));
+    }
+    for (std::size_t index = 0; index < serverHashes.size(); ++index) {
+        report.crashes.push_back({serverHashes[index],
+                                  toDuration(index < agesMs.size() ? agesMs[index] : 0),
+                                  toDuration(index < runTimesMs.size() ? runTimesMs[index] : 0)});
+    }
+    return report;
+}
+
 /** @return The tuple that is sent for an organisation's usage. */
 auto toTuple(const fleet::OrganisationUsage &usage) -> UsageTuple
 {
@@ -84,7 +133,7 @@
         std::get<4>(tuple).push_back(toTuple(usage));
     }
     for (const auto &suspect : message.crashSuspects) {
-        std::get<5>(tuple).emplace_back(suspect.fingerprint, suspect.serverHashes);
+        std::get<5>(tuple).push_back(toTuple(suspect));
     }
     std::get<6>(tuple) = message.replyRequested;
     std::get<8>(tuple) = message.hasLoads;
@@ -112,8 +161,8 @@
     for (const auto &usage : std::get<4>(*tuple)) {
         message.usages.push_back(fromTuple(usage));
     }
-    for (const auto &[fingerprint, serverHashes] : std::get<5>(*tuple)) {
-        message.crashSuspects.push_back({fingerprint, serverHashes});
+    for (const auto &suspect : std::get<5>(*tuple)) {
+        message.crashSuspects.push_back(fromTuple(suspect));
     }
     message.replyRequested = std::get<6>(*tuple);
     message.hasLoads = std::get<8>(*tuple);
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -111,8 +111,10 @@
         message.relayedStatuses =
             this->state.members.sampleStatuses(MaxRelayedStatuses, this->random, now);
     }
-    if (sections.slowlyChanging) {
+    if (sections.slowlyChanging || this->state.crashSuspects.hasNews(now)) {
         message.crashSuspects = this->state.crashSuspects.reports(now);
+    }
+    if (sections.slowlyChanging) {
         message.latencies = this->latencyReports();
     }
     if (sections.loadsAndUsages) {
--- /dev/null
+++ b/tests/fleet/crash_suspect_tests.cpp
@@ -0,0 +1,445 @@
+/** @file crash_suspect_tests.cpp Tests of the detection of requests that crash servers. */
+#include "scheduler_fixture.h"
+
+#include <deque>
+
+namespace {
+
+using namespace banyanring;
+using namespace banyanring::test;
+using fleet::CrashSuspects;
+
+/** Records of one node. */
+class CrashSuspectsFixture : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CrashSuspectsFixture);
+    CPPUNIT_TEST(recordCrash_threeServers_isBlocked);
+    CPPUNIT_TEST(recordCrash_sameServerOften_isNotBlocked);
+    CPPUNIT_TEST(recordCrash_serversFailTogether_isNotBlocked);
+    CPPUNIT_TEST(recordAnswer_afterCrashes_removesThem);
+    CPPUNIT_TEST(recordAnswer_beforeCrash_keepsIt);
+    CPPUNIT_TEST(mergePeerReports_addsUp_isBlocked);
+    CPPUNIT_TEST(mergePeerReports_crashesBeforeAnswer_areNotCounted);
+    CPPUNIT_TEST(mergePeerReports_answerAtPeer_unblocks);
+    CPPUNIT_TEST(mergePeerReports_betweenTwoNodes_crashesExpire);
+    CPPUNIT_TEST(reports_moreThanOneMessage_blockedComesFirst);
+    CPPUNIT_TEST(table_full_keepsBlockedAndAddsNew);
+    CPPUNIT_TEST(trial_afterBlock_isDueOnceAnInterval);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto recordCrash_threeServers_isBlocked() -> void
+    {
+        this->crash(1, 10, seconds(1));
+        this->crash(1, 11, seconds(2));
+        CPPUNIT_ASSERT(!this->suspects.isBlocked(1, seconds(3)));
+        this->crash(1, 12, seconds(3));
+        CPPUNIT_ASSERT(this->suspects.isBlocked(1, seconds(4)));
+        CPPUNIT_ASSERT(!this->suspects.isBlocked(2, seconds(4)));
+    }
+
+    auto recordCrash_sameServerOften_isNotBlocked() -> void
+    {
+        for (int count = 0; count < 9; ++count) {
+            this->crash(1, 10, seconds(count));
+        }
+        CPPUNIT_ASSERT(!this->suspects.isBlocked(1, seconds(9)));
+    }
+
+    auto recordCrash_serversFailTogether_isNotBlocked() -> void
+    {
+        for (std::uint32_t server = 0; server < 9; ++server) {
+            this->suspects.recordCrash(1, server, seconds(1), seconds(5) + milliseconds(server));
+        }
+        CPPUNIT_ASSERT(!this->suspects.isBlocked(1, seconds(6)));
+    }
+
+    auto recordAnswer_afterCrashes_removesThem() -> void
+    {
+        this->crash(1, 10, seconds(1));
+        this->crash(1, 11, seconds(1));
+        this->suspects.recordAnswer(1, seconds(1));
+        this->crash(1, 12, seconds(1));
+        CPPUNIT_ASSERT(!this->suspects.isBlocked(1, seconds(2)));
+    }
+
+    auto recordAnswer_beforeCrash_keepsIt() -> void
+    {
+        this->crash(1, 10, seconds(2));
+        this->crash(1, 11, seconds(3));
+        this->crash(1, 12, seconds(4));
+        this->suspects.recordAnswer(1, seconds(1));
+        CPPUNIT_ASSERT(this->suspects.isBlocked(1, seconds(5)));
+    }
+
+    auto mergePeerReports_addsUp_isBlocked() -> void
+    {
+        this->crash(1, 10, seconds(1));
+        this->suspects.mergePeerReports(
+            {{1, std::nullopt, {{11, seconds(2), {}}, {12, seconds(1), {}}}}}, seconds(5));
+        CPPUNIT_ASSERT(this->suspects.isBlocked(1, seconds(5)));
+    }
+
+    auto mergePeerReports_crashesBeforeAnswer_areNotCounted() -> void
+    {
+        this->suspects.recordAnswer(1, seconds(4));
+        this->suspects.mergePeerReports(
+            {{1, std::nullopt, {{10, seconds(4), {}}, {11, seconds(3), {}}, {12, seconds(2), {}}}}},
+            seconds(5));
+        CPPUNIT_ASSERT(!this->suspects.isBlocked(1, seconds(5)));
+        CPPUNIT_ASSERT(this->suspects.reports(seconds(5)).at(0).answerAge == seconds(1));
+    }
+
+    auto mergePeerReports_answerAtPeer_unblocks() -> void
+    {
+        this->block(1, seconds(3));
+        this->suspects.mergePeerReports({{1, seconds(1), {}}}, seconds(5));
+        CPPUNIT_ASSERT(!this->suspects.isBlocked(1, seconds(5)));
+    }
+
+    auto mergePeerReports_betweenTwoNodes_crashesExpire() -> void
+    {
+        CrashSuspects peer;
+        this->crash(1, 10, seconds(1));
+        this->crash(1, 11, seconds(2));
+        for (auto now = seconds(3); now < seconds(90); now += seconds(1)) {
+            peer.mergePeerReports(this->suspects.reports(now), now);
+            this->suspects.mergePeerReports(peer.reports(now), now);
+            peer.expire(now);
+            this->suspects.expire(now);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, peer.size() + this->suspects.size());
+    }
+
+    auto reports_moreThanOneMessage_blockedComesFirst() -> void
+    {
+        this->block(7, seconds(3));
+        for (std::uint64_t other = 100; other < 300; ++other) {
+            this->crash(other, 10, seconds(4));
+        }
+        const auto reports = this->suspects.reports(seconds(4));
+        CPPUNIT_ASSERT_EQUAL(CrashSuspects::MaxReports, reports.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, reports.front().suspect);
+    }
+
+    auto table_full_keepsBlockedAndAddsNew() -> void
+    {
+        this->block(7, seconds(3));
+        for (std::uint64_t other = 100; other < 100 + 3 * CrashSuspects::MaxSuspects; ++other) {
+            this->suspects.recordAnswer(other, seconds(4));
+        }
+        CPPUNIT_ASSERT(this->suspects.size() <= CrashSuspects::MaxSuspects);
+        CPPUNIT_ASSERT(this->suspects.isBlocked(7, seconds(5)));
+        this->block(8, seconds(6));
+        CPPUNIT_ASSERT(this->suspects.isBlocked(8, seconds(7)));
+    }
+
+    auto trial_afterBlock_isDueOnceAnInterval() -> void
+    {
+        this->block(1, seconds(3));
+        CPPUNIT_ASSERT(!this->suspects.isTrialDue(1, seconds(4)));
+        CPPUNIT_ASSERT(this->suspects.isTrialDue(1, seconds(34)));
+        this->suspects.recordTrial(1, seconds(34));
+        CPPUNIT_ASSERT(!this->suspects.isTrialDue(1, seconds(35)));
+        this->crash(1, 20, seconds(36));
+        CPPUNIT_ASSERT(!this->suspects.isTrialDue(1, seconds(67)));
+        CPPUNIT_ASSERT(this->suspects.isTrialDue(1, seconds(97)));
+    }
+
+private:
+    /** Records a crash of a run that began with it. */
+    auto crash(std::uint64_t suspect, std::uint32_t server, Instant now) -> void
+    {
+        this->suspects.recordCrash(suspect, server, now, now);
+    }
+
+    /** Records the crashes that block a suspect, the last at a given time. */
+    auto block(std::uint64_t suspect, Instant now) -> void
+    {
+        for (std::uint32_t server = 10; server < 13; ++server) {
+            this->crash(suspect, server, now - seconds(12 - server));
+        }
+    }
+
+    CrashSuspects suspects;
+};
+
+/** A prompt part that crashes servers, at one node. */
+class CrashingPromptPartFixture : public SchedulerFixtureBase
+{
+    CPPUNIT_TEST_SUITE(CrashingPromptPartFixture);
+    CPPUNIT_TEST(promptPart_crashedThreeServers_isRejectedInEachRequest);
+    CPPUNIT_TEST(promptPart_answeredBetweenCrashes_isNotRejected);
+    CPPUNIT_TEST(promptPart_blockedWhileQueued_isNotDispatched);
+    CPPUNIT_TEST(promptPart_answerCutLater_isNotRejected);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto promptPart_crashedThreeServers_isRejectedInEachRequest() -> void
+    {
+        this->crashServers({SharedPart, DeadlyPart});
+        const auto sent = this->servers.dispatches.size();
+        const auto caller = this->submit(this->prompt("/clause/", {DeadlyPart}));
+        CPPUNIT_ASSERT_EQUAL(503, caller->response.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("5.00"), caller->header("Retry-After"));
+        CPPUNIT_ASSERT_EQUAL(sent, this->servers.dispatches.size());
+        this->submit(this->prompt("/draft/", {OtherPart}));
+        CPPUNIT_ASSERT_EQUAL(sent + 1, this->servers.dispatches.size());
+    }
+
+    auto promptPart_answeredBetweenCrashes_isNotRejected() -> void
+    {
+        for (std::size_t round = 0; round < CrashSuspects::BlockingCrashes; ++round) {
+            this->crash({SharedPart, DeadlyPart});
+            this->submit(this->prompt("/draft/", {SharedPart}));
+            this->stream(this->lastDispatch(), 1, 2);
+            this->lastDispatch().observer->onResponseEnd();
+        }
+        const auto sent = this->servers.dispatches.size();
+        this->submit(this->prompt("/draft/", {SharedPart}));
+        CPPUNIT_ASSERT_EQUAL(sent + 1, this->servers.dispatches.size());
+        this->submit(this->prompt("/draft/", {SharedPart, DeadlyPart}));
+        CPPUNIT_ASSERT_EQUAL(sent + 1, this->servers.dispatches.size());
+    }
+
+    auto promptPart_blockedWhileQueued_isNotDispatched() -> void
+    {
+        this->crash({DeadlyPart});
+        this->crash({DeadlyPart});
+        std::vector<std::shared_ptr<FakeCaller>> callers;
+        for (int count = 0; count < 6; ++count) {
+            callers.push_back(this->submit(this->prompt("/draft/", {DeadlyPart})));
+        }
+        this->now += milliseconds(300);
+        const auto sent = this->servers.dispatches.size();
+        this->lastDispatch().observer->onExchangeFailed(ExchangeFailure::NoResponse);
+        this->pass(milliseconds(50));
+        CPPUNIT_ASSERT_EQUAL(sent, this->servers.dispatches.size());
+        CPPUNIT_ASSERT_EQUAL(503, callers.back()->response.status);
+    }
+
+    auto promptPart_answerCutLater_isNotRejected() -> void
+    {
+        for (int server = 0; server < 4; ++server) {
+            this->submit(this->prompt("/draft/", {SharedPart}));
+            this->stream(this->lastDispatch(), 1, 1);
+            this->now += seconds(1);
+            this->lastDispatch().observer->onExchangeFailed(ExchangeFailure::Truncated);
+            this->restartServers();
+        }
+        const auto sent = this->servers.dispatches.size();
+        this->submit(this->prompt("/draft/", {SharedPart}));
+        CPPUNIT_ASSERT_EQUAL(sent + 1, this->servers.dispatches.size());
+    }
+
+private:
+    static constexpr std::uint64_t SharedPart = 1;
+    static constexpr std::uint64_t DeadlyPart = 2;
+    static constexpr std::uint64_t OtherPart = 3;
+
+    auto prompt(const std::string &path, std::vector<std::uint64_t> parts) -> CallerRequest
+    {
+        auto result = this->request(path + std::to_string(++this->requests));
+        result.sharedPromptParts = std::move(parts);
+        return result;
+    }
+
+    auto restartServers() -> void
+    {
+        ++this->starts;
+        for (const auto *id : {"e1", "e2"}) {
+            this->state->servers.registerServer(
+                {id, "llm", "10.0.0.1:80", "z1", 2, false, {}, this->starts}, Duration(0),
+                this->now);
+        }
+    }
+
+    /** Runs a request that crashes its server before the first event. */
+    auto crash(std::vector<std::uint64_t> parts) -> void
+    {
+        this->submit(this->prompt("/draft/", std::move(parts)));
+        this->now += milliseconds(300);
+        this->lastDispatch().observer->onExchangeFailed(ExchangeFailure::NoResponse);
+        this->restartServers();
+    }
+
+    auto crashServers(const std::vector<std::uint64_t> &parts) -> void
+    {
+        for (std::size_t count = 0; count < CrashSuspects::BlockingCrashes; ++count) {
+            this->crash(parts);
+        }
+    }
+
+    std::uint64_t starts = 1;
+    int requests = 0;
+};
+
+/** A prompt part that crashes servers, in a simulated fleet with lossy gossip and restarts. */
+class CrashingPromptPartFleetFixture : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CrashingPromptPartFleetFixture);
+    CPPUNIT_TEST(promptPart_crashesServersOf87Nodes_isBlockedInTime);
+    CPPUNIT_TEST(promptPart_crashesServersOf350Nodes_isBlockedInTime);
+    CPPUNIT_TEST(promptPart_soundInHerdOfCrashes_isServed);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto promptPart_crashesServersOf87Nodes_isBlockedInTime() -> void
+    {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            this->runDeadlyPart(87, 5, seed);
+        }
+    }
+
+    auto promptPart_crashesServersOf350Nodes_isBlockedInTime() -> void
+    {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            this->runDeadlyPart(350, 20, seed);
+        }
+    }
+
+    auto promptPart_soundInHerdOfCrashes_isServed() -> void
+    {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            this->start(87, seed);
+            for (int step = 0; step < 400; ++step) {
+                // Every 300 ms a rack of servers fails, and with each server runs of the part.
+                for (int server = 0; step % 6 == 0 && server < 10; ++server) {
+                    this->loseRun(SoundPart, this->nextServer++);
+                }
+                this->runSound(2);
+                this->exchangeGossip(step);
+            }
+            CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), this->rejected * 100 < 800);
+        }
+    }
+
+private:
+    static constexpr std::uint64_t SoundPart = 1;
+    static constexpr std::uint64_t DeadlyPart = 2;
+    static constexpr Duration Step = milliseconds(50);
+    static constexpr Duration StableWindow = seconds(4); ///< Of the largest bench deployments.
+    static constexpr Duration RunTime = milliseconds(300); ///< Until the first event or the crash.
+    static constexpr int MaxLateRequests = 3; ///< Requests that may still run; users' rule BUDGET.
+    static constexpr int LossPercent = 10;
+    static constexpr std::size_t FanOut = 10;
+    static constexpr int RoundSteps = 4;
+    static constexpr int RoundsPerFullMessage = 5;
+
+    /** A run in progress. */
+    struct FleetRun
+    {
+        std::size_t node = 0;
+        Instant startedAt{};
+    };
+
+    auto start(std::size_t nodeCount, std::uint64_t seed) -> void
+    {
+        this->nodes = std::vector<CrashSuspects>(nodeCount);
+        this->random.seed(seed);
+        this->now = seconds(100);
+        this->soundRuns.clear();
+        this->rejected = 0;
+    }
+
+    auto anyNode() -> std::size_t
+    {
+        return this->random() % this->nodes.size();
+    }
+
+    auto loseRun(std::uint64_t part, std::uint32_t server) -> void
+    {
+        this->nodes[this->anyNode()].recordCrash(part, server, this->now - RunTime, this->now);
+    }
+
+    /** Starts runs of the sound part at random nodes, and records the answers of earlier ones. */
+    auto runSound(int count) -> void
+    {
+        for (; count > 0; --count) {
+            const auto node = this->anyNode();
+            if (this->nodes[node].isBlocked(SoundPart, this->now)) {
+                ++this->rejected;
+            } else {
+                this->soundRuns.push_back({node, this->now});
+            }
+        }
+        while (!this->soundRuns.empty()
+               && this->now - this->soundRuns.front().startedAt > 2 * RunTime) {
+            this->nodes[this->soundRuns.front().node].recordAnswer(SoundPart, this->now - RunTime);
+            this->soundRuns.pop_front();
+        }
+    }
+
+    auto exchangeGossip(int step) -> void
+    {
+        this->now += Step;
+        for (std::size_t node = 0; node < this->nodes.size(); ++node) {
+            const auto phase = step + static_cast<int>(node);
+            const bool isFull = phase % (RoundSteps * RoundsPerFullMessage) == 0;
+            if (phase % RoundSteps != 0 || !(isFull || this->nodes[node].hasNews(this->now))) {
+                continue;
+            }
+            const auto reports = this->nodes[node].reports(this->now);
+            for (std::size_t target = 0; target < FanOut; ++target) {
+                if (this->random() % 100 >= LossPercent) {
+                    this->nodes[this->anyNode()].mergePeerReports(reports, this->now);
+                }
+            }
+        }
+    }
+
+    /** Runs a deadly part at the given rate for 20 s, and checks how many requests run too late. */
+    auto runDeadlyPart(std::size_t nodeCount, std::uint32_t perSecond, std::uint64_t seed) -> void
+    {
+        this->start(nodeCount, seed);
+        std::deque<FleetRun> deadlyRuns;
+        std::vector<Instant> restartedAt(nodeCount);
+        int crashes = 0;
+        int lateRequests = 0;
+        auto fifthCrashAt = Never;
+        for (int step = 0; step < 400; ++step) {
+            if (step % 20 == 0) {
+                const auto restarted = this->anyNode(); // Knows nothing afterwards.
+                this->nodes[restarted] = {};
+                restartedAt[restarted] = this->now;
+            }
+            const auto node = this->anyNode();
+            if (this->random() % 20 < perSecond
+                && !this->nodes[node].isBlocked(DeadlyPart, this->now)) {
+                deadlyRuns.push_back({node, this->now});
+                const bool isInTouch = this->now - restartedAt[node] > StableWindow;
+                if (isInTouch && fifthCrashAt != Never && this->now - fifthCrashAt > StableWindow) {
+                    ++lateRequests;
+                }
+            }
+            while (!deadlyRuns.empty() && this->now - deadlyRuns.front().startedAt >= RunTime) {
+                const auto &run = deadlyRuns.front();
+                const auto server = this->nextServer++;
+                this->nodes[run.node].recordCrash(DeadlyPart, server, run.startedAt, this->now);
+                this->nodes[run.node].recordCrash(SoundPart, server, run.startedAt, this->now);
+                this->loseRun(SoundPart, server);
+                fifthCrashAt = ++crashes == 5 ? this->now : fifthCrashAt;
+                deadlyRuns.pop_front();
+            }
+            this->runSound(2);
+            this->exchangeGossip(step);
+        }
+        const auto seedText = "seed " + std::to_string(seed);
+        CPPUNIT_ASSERT_MESSAGE(seedText, crashes >= 3);
+        CPPUNIT_ASSERT_MESSAGE(seedText, lateRequests <= MaxLateRequests);
+        CPPUNIT_ASSERT_MESSAGE(seedText, this->rejected * 100 < 800);
+    }
+
+    std::vector<CrashSuspects> nodes;
+    std::mt19937_64 random;
+    Instant now{};
+    std::deque<FleetRun> soundRuns;
+    int rejected = 0; ///< Sound requests that were blocked; of 800.
+    std::uint32_t nextServer = 1;
+};
+
+} // namespace
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashSuspectsFixture);
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashingPromptPartFixture);
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashingPromptPartFleetFixture);
--- a/tests/fleet/platform_tests.cpp
+++ b/tests/fleet/platform_tests.cpp
@@ -196,6 +196,7 @@
 {
     CPPUNIT_TEST_SUITE(MessageCodecFixture);
     CPPUNIT_TEST(request_allHeaders_areDecoded);
+    CPPUNIT_TEST(request_promptParts_allButTheLastAreShared);
     CPPUNIT_TEST(request_forgedHeaders_areDropped);
     CPPUNIT_TEST(dispatch_body_hasContentLength);
     CPPUNIT_TEST(response_notExecuted_isDecoded);
@@ -236,6 +237,18 @@
         CPPUNIT_ASSERT(request.timeLeft == milliseconds(1500));
     }
 
+    auto request_promptParts_allButTheLastAreShared() -> void
+    {
+        auto withParts = header();
+        withParts.set("X-Prompt-Prefix", "5C1E07A2:800, 91bd3f06:410,5c1e07a2:1,e4402b7d:250");
+        const std::vector<std::uint64_t> expected{0x5c1e07a2, 0x91bd3f06};
+        CPPUNIT_ASSERT(decodeRequest(withParts).sharedPromptParts == expected);
+        withParts.set("X-Prompt-Prefix", "e4402b7d:250");
+        CPPUNIT_ASSERT(decodeRequest(withParts).sharedPromptParts.empty());
+        withParts.set("X-Prompt-Prefix", ",,:,not a number:1,end");
+        CPPUNIT_ASSERT(decodeRequest(withParts).sharedPromptParts.size() <= 4);
+    }
+
     auto request_forgedHeaders_areDropped() -> void
     {
         auto forged = header();
@@ -320,7 +333,8 @@
         message.loads.push_back({7, 3, 1200});
         message.latencies.push_back({7, 9.0F, 0.5F, 2.5F});
         message.usages.push_back({9, 100, 60, 50, 7, 30});
-        message.crashSuspects.push_back({11, {1, 2}});
+        message.crashSuspects.push_back(
+            {11, seconds(3), {{1, seconds(2), milliseconds(250)}, {2, seconds(1), {}}}});
         message.replyRequested = true;
         const auto decoded = gateway::decodeGossip(gateway::encodeGossip(message));
         CPPUNIT_ASSERT(decoded.has_value());
@@ -330,7 +344,12 @@
         CPPUNIT_ASSERT_EQUAL(1200U, decoded->loads[0].promptWork);
         CPPUNIT_ASSERT_EQUAL(2.5F, decoded->latencies[0].outputMsPerToken);
         CPPUNIT_ASSERT_EQUAL(50.0, decoded->usages[0].fleetWindowUnits);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, decoded->crashSuspects[0].serverHashes.size());
+        const auto &suspect = decoded->crashSuspects.at(0);
+        CPPUNIT_ASSERT(suspect.answerAge == seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, suspect.crashes.size());
+        CPPUNIT_ASSERT_EQUAL(1U, suspect.crashes[0].serverHash);
+        CPPUNIT_ASSERT(suspect.crashes[0].age == seconds(2));
+        CPPUNIT_ASSERT(suspect.crashes[0].runTime == milliseconds(250));
         CPPUNIT_ASSERT(decoded->replyRequested);
     }
 
--- a/tests/fleet/registry_tests.cpp
+++ b/tests/fleet/registry_tests.cpp
@@ -1,9 +1,5 @@
-/**
- * @file registry_tests.cpp Tests of the store mirror, the active configuration, the server registry
- * and crash suspects.
- */
+/** @file registry_tests.cpp Tests of store mirror, active configuration and server registry. */
 #include "banyanring/fleet/active_config.h"
-#include "banyanring/fleet/crash_suspects.h"
 #include "banyanring/fleet/server_registry.h"
 #include "banyanring/fleet/store_mirror.h"
 
@@ -235,58 +231,8 @@
     ServerRegistry registry;
 };
 
-/** Detection of requests that crash servers. */
-class CrashSuspectsFixture : public CppUnit::TestFixture
-{
-    CPPUNIT_TEST_SUITE(CrashSuspectsFixture);
-    CPPUNIT_TEST(recordCrash_threeServers_isBlocked);
-    CPPUNIT_TEST(recordCrash_sameServerOften_isNotBlocked);
-    CPPUNIT_TEST(clear_afterResponse_removesCrashes);
-    CPPUNIT_TEST(mergePeerReports_addsUp_isBlocked);
-    CPPUNIT_TEST_SUITE_END();
-
-public:
-    auto recordCrash_threeServers_isBlocked() -> void
-    {
-        this->suspects.recordCrash(1, 10, seconds(1));
-        this->suspects.recordCrash(1, 11, seconds(2));
-        CPPUNIT_ASSERT(!this->suspects.isBlocked(1, seconds(3)));
-        this->suspects.recordCrash(1, 12, seconds(3));
-        CPPUNIT_ASSERT(this->suspects.isBlocked(1, seconds(4)));
-        CPPUNIT_ASSERT(!this->suspects.isBlocked(2, seconds(4)));
-    }
-
-    auto recordCrash_sameServerOften_isNotBlocked() -> void
-    {
-        for (int count = 0; count < 9; ++count) {
-            this->suspects.recordCrash(1, 10, seconds(count));
-        }
-        CPPUNIT_ASSERT(!this->suspects.isBlocked(1, seconds(9)));
-    }
-
-    auto clear_afterResponse_removesCrashes() -> void
-    {
-        this->suspects.recordCrash(1, 10, seconds(1));
-        this->suspects.recordCrash(1, 11, seconds(1));
-        this->suspects.clear(1);
-        this->suspects.recordCrash(1, 12, seconds(1));
-        CPPUNIT_ASSERT(!this->suspects.isBlocked(1, seconds(2)));
-    }
-
-    auto mergePeerReports_addsUp_isBlocked() -> void
-    {
-        this->suspects.recordCrash(1, 10, seconds(1));
-        this->suspects.mergePeerReports({{1, {11, 12}}}, seconds(1));
-        CPPUNIT_ASSERT(this->suspects.isBlocked(1, seconds(2)));
-    }
-
-private:
-    CrashSuspects suspects;
-};
-
 } // namespace
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreMirrorFixture);
 CPPUNIT_TEST_SUITE_REGISTRATION(ActiveConfigFixture);
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerRegistryFixture);
-CPPUNIT_TEST_SUITE_REGISTRATION(CrashSuspectsFixture);
