First core: record crashes also when the table of suspects is full

Callers would see: once 10,000 requests are suspects, a further request that crashes servers is never held back, and its crash doesn't mark the server, so the next request is sent to it at once. Cause: a full table refused the new crash and reported it as known, and the node skips all that follows from a known crash. Change: the suspect with the fewest crashes, of these the oldest, makes room.

--- a/include/banyanring/core/crash_suspect_table_base.h
+++ b/include/banyanring/core/crash_suspect_table_base.h
@@ -17,7 +17,8 @@
     explicit CrashSuspectTable(const NodeSettings &nodeSettings) : settings(nodeSettings) {}
 
     /**
-     * Records a crash; the same crash counts only once.
+     * Records a crash; the same crash counts only once. In a full table it replaces the suspect
+     * with the fewest crashes, of these the oldest.
      * @param fingerprint Fingerprint of the request.
      * @param server The backend server.
      * @param crashId Id of the crash.
@@ -44,6 +45,8 @@
     /** @param now Current time; suspects older than the retention time are removed. */
     auto expire(Instant now) -> void;
 
+    static constexpr std::size_t MaxSuspects = 10000; ///< Maximum number of fingerprints stored.
+
 private:
     /** Crashes recorded for one fingerprint. */
     struct Suspect
@@ -52,6 +55,8 @@
         Instant lastCrashAt{};
     };
 
+    auto removeWeakest() -> void;
+
     const NodeSettings &settings;
     std::map<std::uint64_t, Suspect> suspects;
 };
--- a/src/core/crash_suspect_table.cpp
+++ b/src/core/crash_suspect_table.cpp
@@ -1,11 +1,12 @@
 /** @file crash_suspect_table.cpp Requests that were running when their server crashed. */
 #include "banyanring/core/crash_suspect_table_base.h"
 
+#include <algorithm>
+
 namespace banyanring {
 
 namespace {
 
-constexpr std::size_t MaxSuspects = 10000; ///< Maximum number of fingerprints stored.
 /** No further fingerprints are added to a message with this many crashes. */
 constexpr std::size_t MaxNotices = 200;
 
@@ -15,7 +16,7 @@
                                  Instant now) -> bool
 {
     if (this->suspects.size() >= MaxSuspects && !this->suspects.contains(fingerprint)) {
-        return false;
+        this->removeWeakest();
     }
     auto &suspect = this->suspects[fingerprint];
     const bool isNew = suspect.crashes.emplace(crashId, server).second;
@@ -25,6 +26,17 @@
     return isNew;
 }
 
+auto CrashSuspectTable::removeWeakest() -> void
+{
+    const auto rank = [](const Suspect &suspect) {
+        return std::pair(suspect.crashes.size(), suspect.lastCrashAt);
+    };
+    this->suspects.erase(std::min_element(this->suspects.begin(), this->suspects.end(),
+                                          [&](const auto &first, const auto &second) {
+                                              return rank(first.second) < rank(second.second);
+                                          }));
+}
+
 auto CrashSuspectTable::crashCount(std::uint64_t fingerprint) const -> std::size_t
 {
     const auto suspect = this->suspects.find(fingerprint);
