First core: report more than 200 crash notices in turn

Callers would see: a restarted node runs a request that has crashed servers before, because it never learns of it. Cause: a reply held the 200 lowest fingerprints each time; suspects beyond them were never reported again. Change: each reply continues where the last one ended.

--- a/include/banyanring/core/crash_suspect_table_base.h
+++ b/include/banyanring/core/crash_suspect_table_base.h
@@ -36,11 +36,11 @@
     auto crashCount(std::uint64_t fingerprint) const -> std::size_t;
 
     /**
-     * Returns recorded crashes as notices.
+     * Returns recorded crashes as notices, each time from where the last call ended.
      * @param since Earliest time of a fingerprint's last recorded crash.
      * @return The notices; further fingerprints are left out once there are 200.
      */
-    auto notices(Instant since) const -> std::vector<CrashNotice>;
+    auto notices(Instant since) -> std::vector<CrashNotice>;
 
     /** @param now Current time; suspects older than the retention time are removed. */
     auto expire(Instant now) -> void;
@@ -59,6 +59,7 @@
 
     const NodeSettings &settings;
     std::map<std::uint64_t, Suspect> suspects;
+    std::uint64_t nextReported = 0; ///< Fingerprint from which the next notices begin.
 };
 
 } // namespace banyanring
--- a/src/core/crash_suspect_table.cpp
+++ b/src/core/crash_suspect_table.cpp
@@ -43,11 +43,16 @@
     return suspect == this->suspects.end() ? 0 : suspect->second.crashes.size();
 }
 
-auto CrashSuspectTable::notices(Instant since) const -> std::vector<CrashNotice>
+auto CrashSuspectTable::notices(Instant since) -> std::vector<CrashNotice>
 {
     std::vector<CrashNotice> result;
-    for (const auto &[fingerprint, suspect] : this->suspects) {
-        if (suspect.lastCrashAt < since || result.size() >= MaxNotices) {
+    auto next = this->suspects.lower_bound(this->nextReported);
+    for (std::size_t visited = 0; visited < this->suspects.size() && result.size() < MaxNotices;
+         ++visited) {
+        next = next == this->suspects.end() ? this->suspects.begin() : next;
+        const auto &[fingerprint, suspect] = *next++;
+        this->nextReported = fingerprint + 1;
+        if (suspect.lastCrashAt < since) {
             continue;
         }
         for (const auto &[crashId, server] : suspect.crashes) {
--- a/tests/unit/crash_suspect_table_tests.cpp
+++ b/tests/unit/crash_suspect_table_tests.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST_SUITE(CrashSuspectTableFixture);
     CPPUNIT_TEST(addCrash_tableFull_isRecorded);
     CPPUNIT_TEST(addCrash_tableFull_keepsRepeatedSuspects);
+    CPPUNIT_TEST(notices_moreThanOneMessage_reportAllInTurn);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -33,6 +34,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->table.crashCount(NewSuspect));
     }
 
+    auto notices_moreThanOneMessage_reportAllInTurn() -> void
+    {
+        constexpr std::size_t Count = 1000;
+        this->fill(Count);
+        std::set<std::uint64_t> reported;
+        for (int message = 0; message < 10; ++message) {
+            for (const auto &notice : this->table.notices(seconds(0))) {
+                reported.insert(notice.fingerprint);
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(Count, reported.size());
+    }
+
 private:
     static constexpr std::uint64_t NewSuspect = 1;
 
