Count a stream that ends inside an event as a crash of its server

Callers saw: servers that end their streams with the connection were not protected: a prompt part that crashes them was sent on without limit. Cause: an answer without length or chunks looks complete when its connection closes, so the failure was named cut_event, and only no_answer and truncated were recorded as crashes. Change: cut_event is recorded too. Evidence: promptPart_unframedStreamsCutInsideEvent_isRejected failed before (dispatched, 503 expected); all 200 unit tests of the fleet pass.

--- a/src/gateway/active_request_exchange.cpp
+++ b/src/gateway/active_request_exchange.cpp
@@ -323,7 +323,8 @@
     const auto id = this->server->registration.id;
     this->mayHaveExecuted = true;
     ++this->possibleExecutions;
-    if (reason == "no_answer" || reason == "truncated") {
+    // A stream without framing ends as if complete when its server crashes.
+    if (reason == "no_answer" || reason == "truncated" || reason == "cut_event") {
         this->recordLostRun(reason);
     }
     this->endExchange(fleet::AttemptOutcome::Failed);
--- a/tests/fleet/crash_suspect_tests.cpp
+++ b/tests/fleet/crash_suspect_tests.cpp
@@ -172,6 +172,7 @@
     CPPUNIT_TEST(promptPart_answeredBetweenCrashes_isNotRejected);
     CPPUNIT_TEST(promptPart_blockedWhileQueued_isNotDispatched);
     CPPUNIT_TEST(promptPart_answerCutLater_isNotRejected);
+    CPPUNIT_TEST(promptPart_unframedStreamsCutInsideEvent_isRejected);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -232,6 +233,22 @@
         CPPUNIT_ASSERT_EQUAL(sent + 1, this->servers.dispatches.size());
     }
 
+    auto promptPart_unframedStreamsCutInsideEvent_isRejected() -> void
+    {
+        for (std::size_t count = 0; count < CrashSuspects::BlockingCrashes; ++count) {
+            this->submit(this->prompt("/draft/", {DeadlyPart}));
+            this->now += milliseconds(300);
+            this->lastDispatch().observer->onResponseHeader(header(200));
+            this->lastDispatch().observer->onResponseData("id: 1\nda");
+            this->lastDispatch().observer->onResponseEnd();
+            this->restartServers();
+        }
+        const auto sent = this->servers.dispatches.size();
+        const auto caller = this->submit(this->prompt("/draft/", {DeadlyPart}));
+        CPPUNIT_ASSERT_EQUAL(503, caller->response.status);
+        CPPUNIT_ASSERT_EQUAL(sent, this->servers.dispatches.size());
+    }
+
 private:
     static constexpr std::uint64_t SharedPart = 1;
     static constexpr std::uint64_t DeadlyPart = 2;
