Log the limits that servers name, and who decided a placement

Cause: the logs could not tell whether a server's limit is read, summed or bypassed. Change: the header is decoded; server_limit is logged when a server names, changes or drops its limit; the step placed says if it was decided without the server's coordinator. No decision changes.

--- a/include/banyanring/fleet/server_registry.h
+++ b/include/banyanring/fleet/server_registry.h
@@ -5,6 +5,7 @@
 
 #include "banyanring/fleet/fleet_config_type.h"
 #include "banyanring/fleet/peer_state_type.h"
+#include "banyanring/fleet/request_limit.h"
 
 #include <functional>
 #include <memory>
@@ -85,6 +86,7 @@
     Instant reportedAt{}; ///< Time of that report.
     Instant lastDataAt{}; ///< When this node last received data from the server.
     ServerStats stats; ///< Response times and failure rate.
+    RequestLimit requestLimit; ///< Limit that the server names, on the requests of all nodes.
     bool coordinatedHere = false; ///< This node coordinates its slots for the whole fleet.
     std::size_t maxIdleConnections = 4; ///< Idle connections that this node may keep open.
 
--- a/include/banyanring/gateway/active_request.h
+++ b/include/banyanring/gateway/active_request.h
@@ -121,7 +121,8 @@
     auto rejectLongWait(Duration wait) -> bool;
     auto placeLocally(bool coldOnly) -> bool;
     auto reportSlotEvent(fleet::SlotEvent event) -> void;
-    auto dispatch(const fleet::ServerPtr &server) -> void;
+    auto dispatch(const fleet::ServerPtr &newServer, bool coordinated) -> void;
+    auto recordRequestLimit(double perSecond) -> void;
     auto endExchange(fleet::AttemptOutcome outcome) -> void;
     auto recordResponseStats() -> void;
     auto handleServerRejection() -> void;
--- a/include/banyanring/gateway/request_type.h
+++ b/include/banyanring/gateway/request_type.h
@@ -48,6 +48,11 @@
     bool misdirected = false; ///< The address belongs to another server by now (status 421).
     /** Running and queued requests of the server, if reported. */
     std::optional<std::uint32_t> reportedRequests;
+    /**
+     * Requests per second that the server accepts from all nodes together, or NoRequestLimit;
+     * unset if the response does not say.
+     */
+    std::optional<double> requestLimit;
     std::vector<HeaderField> headers; ///< Headers to forward to the caller.
 };
 
--- a/src/gateway/active_request_exchange.cpp
+++ b/src/gateway/active_request_exchange.cpp
@@ -69,11 +69,11 @@
     }
     this->scheduler.queueOf(this->service).waiting.remove(this->number);
     this->queued = false;
-    this->dispatch(choice.server);
+    this->dispatch(choice.server, false);
     return true;
 }
 
-auto ActiveRequest::dispatch(const fleet::ServerPtr &server) -> void
+auto ActiveRequest::dispatch(const fleet::ServerPtr &newServer, bool coordinated) -> void
 {
     auto &state = this->scheduler.state;
     const auto now = this->scheduler.clock();
@@ -85,16 +85,17 @@
                                   this->estimatedCost(), now);
     }
     ++this->dispatches;
-    this->server = server;
-    this->addStep("placed", server->registration.id + " holds "
-                                + std::to_string(server->occupiedSlots(now)) + "/"
-                                + std::to_string(server->registration.slots));
-    ++server->ownLoad.requests;
-    server->ownLoad.promptWork += this->profile.promptWork;
+    this->server = newServer;
+    this->addStep("placed", newServer->registration.id + " holds "
+                                + std::to_string(newServer->occupiedSlots(now)) + "/"
+                                + std::to_string(newServer->registration.slots)
+                                + (coordinated ? "" : ", without coordinator"));
+    ++newServer->ownLoad.requests;
+    newServer->ownLoad.promptWork += this->profile.promptWork;
     this->promptCounted = true;
-    this->promptWorkAhead = server->ownLoad.promptWork + server->peerLoad.promptWork;
-    if (server->isCold(now)) {
-        state.coldLimiter.recordRequest(server->hash, now);
+    this->promptWorkAhead = newServer->ownLoad.promptWork + newServer->peerLoad.promptWork;
+    if (newServer->isCold(now)) {
+        state.coldLimiter.recordRequest(newServer->hash, now);
     }
     this->headerReceived = false;
     this->readPaused = false;
@@ -106,14 +107,14 @@
     this->answerBeganAt.reset();
     this->answerRecorded = false;
     platform::DispatchHeaders headers;
-    headers.server = server->registration.id;
+    headers.server = newServer->registration.id;
     if (this->organisation != nullptr) {
         headers.organisation = this->organisation->name;
     }
     headers.timeLeft = this->deadline - now;
     headers.lastEventId = this->eventParser.lastEventId();
     this->exchange = this->scheduler.serverPort.send(
-        server, this->request.attemptId, platform::encodeDispatch(this->request, headers),
+        newServer, this->request.attemptId, platform::encodeDispatch(this->request, headers),
         this->route->isRetryable(), *this);
 }
 
@@ -145,6 +146,9 @@
         logEvent("server_reachable", {{"server", server.registration.id},
                                       {"cold_ms", std::int64_t{coldFor / milliseconds(1)}}});
     }
+    if (header.requestLimit) {
+        this->recordRequestLimit(*header.requestLimit);
+    }
     if (header.reportedRequests) {
         server.reportedOtherRequests = *header.reportedRequests > server.ownLoad.requests
                                            ? *header.reportedRequests - server.ownLoad.requests
@@ -153,6 +157,17 @@
     }
 }
 
+auto ActiveRequest::recordRequestLimit(double perSecond) -> void
+{
+    if (this->server->requestLimit.update(perSecond, this->scheduler.clock())) {
+        logEvent("server_limit",
+                 {{"server", this->server->registration.id},
+                  {"request_id", this->request.attemptId},
+                  {"limited", this->server->requestLimit.isNamed()},
+                  {"per_second", this->server->requestLimit.isNamed() ? perSecond : 0.0}});
+    }
+}
+
 auto ActiveRequest::onResponseData(std::string_view data) -> void
 {
     this->lastDataAt = this->scheduler.clock();
--- a/src/gateway/active_request_slots.cpp
+++ b/src/gateway/active_request_slots.cpp
@@ -66,7 +66,7 @@
         }
         this->scheduler.queueOf(this->service).waiting.remove(this->number);
         this->queued = false;
-        this->dispatch(server);
+        this->dispatch(server, true);
         return;
     }
     if (reply.outcome == fleet::SlotOutcome::Granted) {
