Bound the memory of responses that do not end

Callers would see: a server that sends bytes without end makes the node run out of memory, and all of its requests end. Cause: a buffered body was bounded at 256 MiB only, an event and the extension or trailer of a chunk not at all. A response header was bounded. Change: 64 KiB per event, 8 MiB per buffered body, 24 MiB for all of a node (the longest is cut, so that short ones are not), 80 KiB of bytes that the parser has not consumed. The request ends as after any invalid response. Evidence: the five tests of EndlessResponseFixture and response_endlessBytesBeforeBody_isMalformed fail without the bounds and pass with them.

--- a/include/banyanring/gateway/active_request.h
+++ b/include/banyanring/gateway/active_request.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "banyanring/gateway/event_stream_parser.h"
+#include "banyanring/gateway/response_buffer.h"
 #include "banyanring/gateway/scheduler.h"
 
 #include <set>
@@ -84,6 +85,15 @@
     /** Ends a request that has waited too long in the queue. */
     auto rejectQueued() -> void;
 
+    /** @return Bytes of the response that are buffered. */
+    auto bufferedBytes() const -> std::size_t
+    {
+        return this->body.size();
+    }
+
+    /** Ends the exchange, because the response takes too much memory. */
+    auto onResponseTooLong() -> void;
+
     /** Ends the request, because the caller has disconnected. */
     auto onCallerDisconnected() -> void;
 
@@ -179,7 +189,7 @@
     bool answerRecorded = false; ///< The server has survived the start of the answer.
     double promptWorkAhead = 0; ///< Prompt work at the server at dispatch, its own included.
     bool promptCounted = false; ///< Its prompt work is included in the server's load.
-    std::string body; ///< Body of a response that is not streamed.
+    ResponseBuffer body; ///< Body of a response that is not streamed.
 
     EventStreamParser eventParser;
     bool streamStarted = false; ///< The header of a stream was sent to the caller.
--- a/include/banyanring/gateway/event_stream_parser.h
+++ b/include/banyanring/gateway/event_stream_parser.h
@@ -23,6 +23,7 @@
     {
         std::string events; ///< Complete events to deliver.
         bool gap = false; ///< Event ids are not consecutive; no later event may be delivered.
+        bool tooLong = false; ///< The incomplete event is longer than any event may be.
     };
 
     /**
@@ -57,6 +58,8 @@
         return this->lastId;
     }
 
+    static constexpr std::size_t MaxEventBytes = 65536; ///< Longer events are not delivered.
+
 private:
     std::string incompleteEvent;
     std::uint64_t count = 0;
--- a/include/banyanring/gateway/scheduler.h
+++ b/include/banyanring/gateway/scheduler.h
@@ -198,6 +198,7 @@
     auto destroyFinished() -> void;
     auto findBySlotRequest(std::uint64_t slotRequestId) -> ActiveRequest *;
     auto expectedWait(const std::string &service, std::uint32_t tier) -> Duration;
+    auto limitBufferedBytes() -> void;
 
     NodeState &state;
     ServerPort &serverPort;
@@ -209,6 +210,7 @@
     std::uint64_t nextNumber = 1;
     bool rejecting = false;
     bool placing = false;
+    std::size_t bufferedBytes = 0; ///< Bytes of responses that are buffered.
     std::unordered_map<std::uint64_t, std::unique_ptr<ActiveRequest>> requests;
     std::unordered_map<std::string, fleet::ServiceQueue> queues; ///< Own requests, by service.
     std::unordered_map<std::string, double> outputTokenAverages; ///< By route prefix.
--- a/src/gateway/active_request.cpp
+++ b/src/gateway/active_request.cpp
@@ -89,7 +89,7 @@
 ActiveRequest::ActiveRequest(Scheduler &scheduler, std::uint64_t number, CallerPortPtr caller,
                              CallerRequest request)
     : scheduler(scheduler), number(number), caller(std::move(caller)), request(std::move(request)),
-      eventParser(this->request.lastEventId)
+      body(scheduler.bufferedBytes), eventParser(this->request.lastEventId)
 {
 }
 
--- a/src/gateway/active_request_exchange.cpp
+++ b/src/gateway/active_request_exchange.cpp
@@ -170,6 +170,17 @@
         return;
     }
     this->body.append(data);
+    if (this->body.size() > ResponseBuffer::MaxBytes) {
+        this->onResponseTooLong();
+    } else {
+        this->scheduler.limitBufferedBytes();
+    }
+}
+
+auto ActiveRequest::onResponseTooLong() -> void
+{
+    this->handleServerFailure("body_too_long");
+    this->scheduler.placeDirtyServices();
 }
 
 auto ActiveRequest::forwardEvents(std::string_view data) -> void
@@ -195,8 +206,8 @@
         this->caller->sendStreamData(parsed.events);
         this->updateBackpressure();
     }
-    if (parsed.gap) {
-        this->handleServerFailure("event_gap");
+    if (parsed.gap || parsed.tooLong) {
+        this->handleServerFailure(parsed.gap ? "event_gap" : "event_too_long");
     }
 }
 
@@ -265,8 +276,8 @@
         return;
     }
     this->firstByteAt = this->scheduler.clock();
-    this->caller->sendResponse({this->response.status, this->response.reason,
-                                this->response.headers, std::move(this->body)});
+    this->caller->sendResponse(
+        {this->response.status, this->response.reason, this->response.headers, this->body.take()});
     this->finish(RequestOutcome::Answered, this->response.status);
 }
 
@@ -334,6 +345,7 @@
     if (reason == "no_answer" || reason == "truncated" || reason == "cut_event") {
         this->recordLostRun(reason);
     }
+    this->body.clear();
     this->endExchange(fleet::AttemptOutcome::Failed);
     this->addStep("server_failed", id + " " + std::string(reason));
     if (this->tryTakeRetry()) {
--- a/src/gateway/event_stream_parser.cpp
+++ b/src/gateway/event_stream_parser.cpp
@@ -60,6 +60,7 @@
         parsed.events.append(event);
     }
     this->incompleteEvent.erase(0, begin);
+    parsed.tooLong = this->incompleteEvent.size() > MaxEventBytes;
     return parsed;
 }
 
--- a/src/gateway/outbound_connection.cpp
+++ b/src/gateway/outbound_connection.cpp
@@ -18,6 +18,8 @@
 
 constexpr std::size_t MaxReadBytes = 16384; ///< One read fits several events of a stream.
 constexpr std::uint32_t MaxHeaderBytes = 65536; ///< Maximum bytes of a response header.
+/** The parser does not limit the length of chunk extensions and trailers. */
+constexpr std::size_t MaxUnparsedBytes = MaxHeaderBytes + MaxReadBytes;
 constexpr std::uint64_t MaxBodyBytes = 256ULL << 20U; ///< Maximum bytes of a response body.
 constexpr unsigned FirstFinalStatus = 200; ///< Lower statuses are informational (1xx).
 
@@ -121,6 +123,9 @@
     if (!error) {
         this->buffer.commit(count);
         this->parseBuffered();
+        if (!this->closed && this->buffer.size() > MaxUnparsedBytes) {
+            this->fail(ConnectionFailure::Malformed);
+        }
         this->startRead();
         return;
     }
--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -3,6 +3,8 @@
 
 #include "banyanring/gateway/active_request.h"
 
+#include <algorithm>
+
 namespace banyanring::gateway {
 
 namespace {
@@ -225,6 +227,18 @@
     return queue.expectedWait(queue.waiting.countAhead(tier, this->clock()));
 }
 
+auto Scheduler::limitBufferedBytes() -> void
+{
+    if (this->bufferedBytes <= ResponseBuffer::MaxTotalBytes) {
+        return;
+    }
+    const auto longest = std::max_element(
+        this->requests.begin(), this->requests.end(), [](const auto &first, const auto &second) {
+            return first.second->bufferedBytes() < second.second->bufferedBytes();
+        });
+    longest->second->onResponseTooLong();
+}
+
 auto Scheduler::destroyFinished() -> void
 {
     for (const auto number : this->finishedRequests) {
--- /dev/null
+++ b/tests/fleet/endless_response_tests.cpp
@@ -0,0 +1,102 @@
+/** @file endless_response_tests.cpp Tests of responses whose body does not end. */
+#include "banyanring/gateway/response_buffer.h"
+#include "scheduler_fixture.h"
+
+namespace {
+
+using namespace banyanring;
+using namespace banyanring::test;
+
+/** Servers that send bytes until the caller closes. */
+class EndlessResponseFixture : public SchedulerFixtureBase
+{
+    CPPUNIT_TEST_SUITE(EndlessResponseFixture);
+    CPPUNIT_TEST(body_withoutEnd_isCutAndGets502);
+    CPPUNIT_TEST(body_withoutEndInRetry_isCutAgain);
+    CPPUNIT_TEST(bodies_exceedTheTotal_longestIsCut);
+    CPPUNIT_TEST(event_withoutEnd_abortsTheStream);
+    CPPUNIT_TEST(rejection_withoutEnd_isCutAndGets502);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto body_withoutEnd_isCutAndGets502() -> void
+    {
+        const auto caller = this->submit(this->request("/order/1"));
+        CPPUNIT_ASSERT(this->sendUntilCut(this->lastDispatch(), 200) <= MaxBytesSent);
+        CPPUNIT_ASSERT_EQUAL(502, caller->response.status);
+        CPPUNIT_ASSERT(caller->response.body.empty());
+    }
+
+    auto body_withoutEndInRetry_isCutAgain() -> void
+    {
+        const auto caller = this->submit(this->request("/lookup/1"));
+        this->sendUntilCut(this->lastDispatch(), 200);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->servers.dispatches.size());
+        this->sendUntilCut(this->lastDispatch(), 200);
+        CPPUNIT_ASSERT_EQUAL(502, caller->response.status);
+    }
+
+    auto bodies_exceedTheTotal_longestIsCut() -> void
+    {
+        std::vector<std::shared_ptr<FakeCaller>> callers;
+        for (int count = 0; count < 4; ++count) {
+            callers.push_back(this->submit(this->request("/order/1")));
+        }
+        CPPUNIT_ASSERT_EQUAL(callers.size(), this->servers.dispatches.size());
+        for (std::size_t index = 0; index < callers.size(); ++index) {
+            auto &dispatch = *this->servers.dispatches[index];
+            dispatch.observer->onResponseHeader(header(200));
+            // The third response is the longest.
+            const auto size = ResponseBuffer::MaxBytes - (index == 2 ? 0 : (2U << 20U));
+            dispatch.observer->onResponseData(std::string(size, 'x'));
+        }
+        CPPUNIT_ASSERT_EQUAL(502, callers[2]->response.status);
+        for (const std::size_t index : {0, 1, 3}) {
+            this->servers.dispatches[index]->observer->onResponseEnd();
+            CPPUNIT_ASSERT_EQUAL(200, callers[index]->response.status);
+        }
+    }
+
+    auto event_withoutEnd_abortsTheStream() -> void
+    {
+        const auto caller = this->submit(this->request("/draft/1"));
+        this->stream(this->lastDispatch(), 1, 2);
+        const auto sent = this->sendWhileOpen(this->lastDispatch());
+        CPPUNIT_ASSERT(sent <= EventStreamLimit);
+        CPPUNIT_ASSERT(caller->aborted);
+    }
+
+    auto rejection_withoutEnd_isCutAndGets502() -> void
+    {
+        const auto caller = this->submit(this->request("/order/1"));
+        CPPUNIT_ASSERT(this->sendUntilCut(this->lastDispatch(), 404) <= MaxBytesSent);
+        CPPUNIT_ASSERT_EQUAL(502, caller->response.status);
+    }
+
+private:
+    static constexpr std::size_t BlockBytes = 16384;
+    static constexpr std::size_t MaxBytesSent = ResponseBuffer::MaxBytes + BlockBytes;
+    static constexpr std::size_t EventStreamLimit = 65536 + BlockBytes;
+    static constexpr std::size_t EndlessBytes = 64U << 20U; ///< More than any bound.
+
+    /** @return Bytes sent until the exchange was cancelled. */
+    auto sendWhileOpen(FakeDispatch &dispatch) -> std::size_t
+    {
+        std::size_t sent = 0;
+        while (!dispatch.cancelled && sent < EndlessBytes) {
+            dispatch.observer->onResponseData(std::string(BlockBytes, 'x'));
+            sent += BlockBytes;
+        }
+        return sent;
+    }
+
+    auto sendUntilCut(FakeDispatch &dispatch, int status) -> std::size_t
+    {
+        dispatch.observer->onResponseHeader(header(status));
+        return this->sendWhileOpen(dispatch);
+    }
+};
+
+} // namespace
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EndlessResponseFixture);
--- a/tests/fleet/queue_tests.cpp
+++ b/tests/fleet/queue_tests.cpp
@@ -206,6 +206,7 @@
     CPPUNIT_TEST_SUITE(EventStreamParserFixture);
     CPPUNIT_TEST(feed_chunksOfEvents_returnsCompleteOnes);
     CPPUNIT_TEST(feed_afterReset_dropsDeliveredEvents);
+    CPPUNIT_TEST(feed_eventWithoutEnd_isReportedAsTooLong);
     CPPUNIT_TEST(feed_missingEvent_reportsTheGap);
     CPPUNIT_TEST_SUITE_END();
 
@@ -229,6 +230,15 @@
         CPPUNIT_ASSERT(stream.atEventBoundary());
     }
 
+    auto feed_eventWithoutEnd_isReportedAsTooLong() -> void
+    {
+        gateway::EventStreamParser parser(std::nullopt);
+        CPPUNIT_ASSERT(
+            !parser.feed(std::string(gateway::EventStreamParser::MaxEventBytes, 'x')).tooLong);
+        CPPUNIT_ASSERT(parser.feed("x").tooLong);
+        CPPUNIT_ASSERT(!parser.feed("\n\n").tooLong);
+    }
+
     auto feed_missingEvent_reportsTheGap() -> void
     {
         gateway::EventStreamParser stream(4);
--- a/tests/fleet/server_connection_pool_tests.cpp
+++ b/tests/fleet/server_connection_pool_tests.cpp
@@ -36,6 +36,8 @@
 
     std::vector<std::string> responses; ///< Bytes to send for each request.
     bool closeAfterResponse = false; ///< Close the connection after a response.
+    std::string endlessBytes; ///< Sent again and again after a response, until the caller closes.
+    std::size_t endlessBytesSent = 0;
     int connections = 0;
     int requests = 0;
 
@@ -64,6 +66,10 @@
                 ++this->requests;
                 asio::write(*socket, asio::buffer(this->responses.front()));
                 this->responses.erase(this->responses.begin());
+                if (!this->endlessBytes.empty()) {
+                    this->sendEndless(socket);
+                    return;
+                }
                 if (this->closeAfterResponse) {
                     socket->close();
                     return;
@@ -72,6 +78,18 @@
             });
     }
 
+    auto sendEndless(const std::shared_ptr<tcp::socket> &socket) -> void
+    {
+        asio::async_write(
+            *socket, asio::buffer(this->endlessBytes),
+            [this, socket](const boost::system::error_code &error, std::size_t count) {
+                this->endlessBytesSent += count;
+                if (!error) {
+                    this->sendEndless(socket);
+                }
+            });
+    }
+
     tcp::acceptor acceptor;
 };
 
@@ -118,6 +136,7 @@
     CPPUNIT_TEST(response_withoutLength_endsWithConnection);
     CPPUNIT_TEST(response_truncated_fails);
     CPPUNIT_TEST(response_invalid_isMalformed);
+    CPPUNIT_TEST(response_endlessBytesBeforeBody_isMalformed);
     CPPUNIT_TEST(server_closesWithoutResponse_isNotRetried);
     CPPUNIT_TEST(server_unreachable_reportsNotSent);
     CPPUNIT_TEST_SUITE_END();
@@ -203,6 +222,28 @@
         CPPUNIT_ASSERT(this->exchange("1").failure == ExchangeFailure::Malformed);
     }
 
+    auto response_endlessBytesBeforeBody_isMalformed() -> void
+    {
+        // The operating system buffers some megabytes between the two ends.
+        constexpr std::size_t MaxSentBytes = 16U << 20U;
+        const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        for (const auto &[begin, endless] : std::vector<std::pair<std::string, std::string>>{
+                 {"HTTP/1.1 200 ", "OK"},
+                 {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+                 {chunked + "1;", "name"},
+                 {chunked + "0\r\n", "Name: value\r\n"}}) {
+            this->rawServer->responses = {begin};
+            this->rawServer->endlessBytes.clear();
+            while (this->rawServer->endlessBytes.size() < 4096) {
+                this->rawServer->endlessBytes += endless;
+            }
+            this->rawServer->endlessBytesSent = 0;
+            const auto result = this->exchange("a");
+            CPPUNIT_ASSERT_MESSAGE(begin, result.failure == ExchangeFailure::Malformed);
+            CPPUNIT_ASSERT_MESSAGE(begin, this->rawServer->endlessBytesSent < MaxSentBytes);
+        }
+    }
+
     auto server_closesWithoutResponse_isNotRetried() -> void
     {
         this->rawServer->closeAfterResponse = true;
