Servers' limits: save unused requests of 1.5 s for bursts

Callers saw: with limits in force, requests in bursts were rejected although the servers had taken less than their limits between the bursts. Cause: at most one second of unused requests was saved. Change: 1.5 s are saved. For the sum to stay in bounds, the two sides of a partition share 1.1 limits in place of 1.25, and the two senders without a coordinator a sixteenth each in place of an eighth. The seeded fleets of RequestLimitFleetFixture pass.

--- a/include/banyanring/fleet/request_limit.h
+++ b/include/banyanring/fleet/request_limit.h
@@ -14,14 +14,14 @@
  * Returns the share of a limit for the coordinator of its server. During a network partition each
  * side has a coordinator.
  * @param reachableFraction Fraction of the fleet that it reaches.
- * @return Share; the shares of all sides sum to 1.25 at most.
+ * @return Share; the shares of two sides sum to 1.1 at most.
  */
 auto coordinatorLimitShare(double reachableFraction) -> double;
 
 /** Nodes per server that may send to it without its coordinator while it names a limit. */
 constexpr std::size_t MaxUncoordinatedSenders = 2;
 /** Share of a limit for each of them. */
-constexpr double UncoordinatedLimitShare = 0.125;
+constexpr double UncoordinatedLimitShare = 0.0625;
 
 /**
  * What a server last said about the requests that it accepts from all nodes together, and the
--- a/src/fleet/request_limit.cpp
+++ b/src/fleet/request_limit.cpp
@@ -10,8 +10,8 @@
 
 /** Requests to a server that takes none, as only its responses tell when it takes some again. */
 constexpr double MinRequestsPerSecond = 0.25;
-constexpr double BurstSeconds = 1; ///< Unused requests of this time may be sent at once.
-constexpr double MaxPartitionedShare = 1.25; ///< Sum of the shares of both sides of a partition.
+constexpr double BurstSeconds = 1.5; ///< Unused requests of this time may be sent at once.
+constexpr double MaxPartitionedShare = 1.1; ///< Sum of the shares of both sides of a partition.
 
 } // namespace
 
