--- /dev/null
+++ b/tests/fleet/crash_suspect_fleet_tests.cpp
@@ -0,0 +1,183 @@
+/**
+ * @file crash_suspect_fleet_tests.cpp Simulated fleets that get requests which crash servers.
+ */
+#include "banyanring/fleet/crash_suspects.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <deque>
+#include <random>
+
+namespace {
+
+using namespace banyanring;
+using fleet::CrashSuspects;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** A prompt part that crashes servers, in a simulated fleet with lossy gossip and restarts. */
+class CrashingPromptPartFleetFixture : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(CrashingPromptPartFleetFixture);
+    CPPUNIT_TEST(promptPart_crashesServersOf87Nodes_isBlockedInTime);
+    CPPUNIT_TEST(promptPart_crashesServersOf350Nodes_isBlockedInTime);
+    CPPUNIT_TEST(promptPart_soundInHerdOfCrashes_isServed);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    auto promptPart_crashesServersOf87Nodes_isBlockedInTime() -> void
+    {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            this->runDeadlyPart(87, 5, seed);
+        }
+    }
+
+    auto promptPart_crashesServersOf350Nodes_isBlockedInTime() -> void
+    {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            this->runDeadlyPart(350, 20, seed);
+        }
+    }
+
+    auto promptPart_soundInHerdOfCrashes_isServed() -> void
+    {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            this->start(87, seed);
+            for (int step = 0; step < 400; ++step) {
+                // Every 300 ms a rack of servers fails, and with each server runs of the part.
+                for (int server = 0; step % 6 == 0 && server < 10; ++server) {
+                    this->loseRun(SoundPart, this->nextServer++);
+                }
+                this->runSound(2);
+                this->exchangeGossip(step);
+            }
+            CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed), this->rejected * 100 < 800);
+        }
+    }
+
+private:
+    static constexpr std::uint64_t SoundPart = 1;
+    static constexpr std::uint64_t DeadlyPart = 2;
+    static constexpr Duration Step = milliseconds(50);
+    static constexpr Duration StableWindow = seconds(4); ///< Of the largest bench deployments.
+    static constexpr Duration RunTime = milliseconds(300); ///< Until the first event or the crash.
+    static constexpr int MaxLateRequests = 3; ///< Requests that may still run; users' rule BUDGET.
+    static constexpr int LossPercent = 10;
+    static constexpr std::size_t FanOut = 10;
+    static constexpr int RoundSteps = 4;
+    static constexpr int RoundsPerFullMessage = 5;
+
+    /** A run in progress. */
+    struct FleetRun
+    {
+        std::size_t node = 0;
+        Instant startedAt{};
+    };
+
+    auto start(std::size_t nodeCount, std::uint64_t seed) -> void
+    {
+        this->nodes = std::vector<CrashSuspects>(nodeCount);
+        this->random.seed(seed);
+        this->now = seconds(100);
+        this->soundRuns.clear();
+        this->rejected = 0;
+    }
+
+    auto anyNode() -> std::size_t
+    {
+        return this->random() % this->nodes.size();
+    }
+
+    auto loseRun(std::uint64_t part, std::uint32_t server) -> void
+    {
+        this->nodes[this->anyNode()].recordCrash(part, server, this->now - RunTime, this->now);
+    }
+
+    /** Starts runs of the sound part at random nodes, and records the answers of earlier ones. */
+    auto runSound(int count) -> void
+    {
+        for (; count > 0; --count) {
+            const auto node = this->anyNode();
+            if (this->nodes[node].isBlocked(SoundPart, this->now)) {
+                ++this->rejected;
+            } else {
+                this->soundRuns.push_back({node, this->now});
+            }
+        }
+        while (!this->soundRuns.empty()
+               && this->now - this->soundRuns.front().startedAt > 2 * RunTime) {
+            this->nodes[this->soundRuns.front().node].recordAnswer(SoundPart, this->now - RunTime);
+            this->soundRuns.pop_front();
+        }
+    }
+
+    auto exchangeGossip(int step) -> void
+    {
+        this->now += Step;
+        for (std::size_t node = 0; node < this->nodes.size(); ++node) {
+            const auto phase = step + static_cast<int>(node);
+            const bool isFull = phase % (RoundSteps * RoundsPerFullMessage) == 0;
+            if (phase % RoundSteps != 0 || !(isFull || this->nodes[node].hasNews(this->now))) {
+                continue;
+            }
+            const auto reports = this->nodes[node].reports(this->now);
+            for (std::size_t target = 0; target < FanOut; ++target) {
+                if (this->random() % 100 >= LossPercent) {
+                    this->nodes[this->anyNode()].mergePeerReports(reports, this->now);
+                }
+            }
+        }
+    }
+
+    /** Runs a deadly part at the given rate for 20 s, and checks how many requests run too late. */
+    auto runDeadlyPart(std::size_t nodeCount, std::uint32_t perSecond, std::uint64_t seed) -> void
+    {
+        this->start(nodeCount, seed);
+        std::deque<FleetRun> deadlyRuns;
+        std::vector<Instant> restartedAt(nodeCount);
+        int crashes = 0;
+        int lateRequests = 0;
+        auto fifthCrashAt = Never;
+        for (int step = 0; step < 400; ++step) {
+            if (step % 20 == 0) {
+                const auto restarted = this->anyNode(); // Knows nothing afterwards.
+                this->nodes[restarted] = {};
+                restartedAt[restarted] = this->now;
+            }
+            const auto node = this->anyNode();
+            if (this->random() % 20 < perSecond
+                && !this->nodes[node].isBlocked(DeadlyPart, this->now)) {
+                deadlyRuns.push_back({node, this->now});
+                const bool isInTouch = this->now - restartedAt[node] > StableWindow;
+                if (isInTouch && fifthCrashAt != Never && this->now - fifthCrashAt > StableWindow) {
+                    ++lateRequests;
+                }
+            }
+            while (!deadlyRuns.empty() && this->now - deadlyRuns.front().startedAt >= RunTime) {
+                const auto &run = deadlyRuns.front();
+                const auto server = this->nextServer++;
+                this->nodes[run.node].recordCrash(DeadlyPart, server, run.startedAt, this->now);
+                this->nodes[run.node].recordCrash(SoundPart, server, run.startedAt, this->now);
+                this->loseRun(SoundPart, server);
+                fifthCrashAt = ++crashes == 5 ? this->now : fifthCrashAt;
+                deadlyRuns.pop_front();
+            }
+            this->runSound(2);
+            this->exchangeGossip(step);
+        }
+        const auto seedText = "seed " + std::to_string(seed);
+        CPPUNIT_ASSERT_MESSAGE(seedText, crashes >= 3);
+        CPPUNIT_ASSERT_MESSAGE(seedText, lateRequests <= MaxLateRequests);
+        CPPUNIT_ASSERT_MESSAGE(seedText, this->rejected * 100 < 800);
+    }
+
+    std::vector<CrashSuspects> nodes;
+    std::mt19937_64 random;
+    Instant now{};
+    std::deque<FleetRun> soundRuns;
+    int rejected = 0; ///< Sound requests that were blocked; of 800.
+    std::uint32_t nextServer = 1;
+};
+
+} // namespace
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashingPromptPartFleetFixture);
