--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -47,6 +47,9 @@
              {"own", server->ownLoad.requests},
              {"peers", server->peerLoad.requests},
              {"kept", server->coordinatedHere},
+             {"limit_per_second", server->requestLimit.isNamed()
+                                      ? json(server->requestLimit.perSecond())
+                                      : json(nullptr)},
              {"cold_ms", std::max<std::int64_t>(0, toMs(server->coldUntil - now))},
              {"avoid_ms", std::max<std::int64_t>(0, toMs(server->backoffUntil - now))},
              {"ejected_ms", std::max<std::int64_t>(0, toMs(server->ejectedUntil - now))},
@@ -112,6 +115,9 @@
     gauge("kept_servers",
           std::count_if(this->state.servers.all().begin(), this->state.servers.all().end(),
                         [](const auto &item) { return item.second->coordinatedHere; }));
+    gauge("limited_servers",
+          std::count_if(this->state.servers.all().begin(), this->state.servers.all().end(),
+                        [](const auto &item) { return item.second->requestLimit.isNamed(); }));
     gauge("idle_server_connections", this->serverConnectionPool.idleCount());
     text << "# TYPE banyanring_server_requests gauge\n";
     for (const auto &[id, server] : this->state.servers.all()) {
