Serve short requests as before if all servers name limits

Callers would see: while all servers of a service name limits, short requests wait behind any number of long ones. Cause: short requests left a reserve at limited servers to long ones also if no other server was there to run them. Change: the reserve is kept only beside a usable server without a limit. Evidence: request_shortAndAllServersLimited_isNotHeldBackForLongOnes fails without the change and passes with it.

--- a/include/banyanring/fleet/request_limit.h
+++ b/include/banyanring/fleet/request_limit.h
@@ -88,7 +88,7 @@
      */
     auto recordRequest(double share, Instant now) -> void;
 
-    /** Assumes that all allowed requests were sent, after the task passed to this node. */
+    /** Empties the bucket; for a new coordinator, which does not know what others have sent. */
     auto clearAllowance(Instant now) -> void
     {
         this->tokens = 0;
--- a/include/banyanring/fleet/slot_allocator.h
+++ b/include/banyanring/fleet/slot_allocator.h
@@ -120,6 +120,7 @@
     auto cancelWaiting(std::uint64_t number) -> void;
     auto recordEvent(const Grant &grant, const SlotReport &report, Instant now) -> void;
     auto coordinates(const std::string &service) const -> bool;
+    auto hasUnlimitedServer(const std::string &service, Instant now) const -> bool;
 
     ServerRegistry &servers;
     std::function<bool(const Server &, Instant)> usable;
--- a/src/fleet/slot_allocator.cpp
+++ b/src/fleet/slot_allocator.cpp
@@ -67,7 +67,9 @@
 auto SlotAllocator::tryGrant(const SlotRequest &request, const std::string &service, Instant now)
     -> ServerPtr
 {
-    const bool isLong = this->queues[service].isLong(request.profile);
+    // Short requests leave limited servers to long ones, if there are others.
+    const bool isLong =
+        this->queues[service].isLong(request.profile) || !this->hasUnlimitedServer(service, now);
     const auto isAllowed = [&](const Server &server) {
         return server.coordinatedHere && this->usable(server, now)
                && server.requestLimit.permits(this->limitShare, isLong, now)
@@ -99,6 +101,15 @@
     return choice.server;
 }
 
+auto SlotAllocator::hasUnlimitedServer(const std::string &service, Instant now) const -> bool
+{
+    const auto &all = this->servers.serversOf(service);
+    return std::any_of(all.begin(), all.end(), [&](const ServerPtr &server) {
+        return server->coordinatedHere && !server->requestLimit.isNamed()
+               && this->usable(*server, now);
+    });
+}
+
 auto SlotAllocator::release(std::map<RequestKey, Grant>::iterator found) -> void
 {
     auto &[key, grant] = *found;
--- a/tests/fleet/slot_allocator_tests.cpp
+++ b/tests/fleet/slot_allocator_tests.cpp
@@ -12,6 +12,7 @@
 
 using namespace banyanring;
 using namespace banyanring::gateway;
+using fleet::NoRequestLimit;
 using fleet::SlotEvent;
 using fleet::SlotOutcome;
 using std::chrono::milliseconds;
@@ -30,6 +31,7 @@
     CPPUNIT_TEST(request_cancelledWhileWaiting_getsNoSlot);
     CPPUNIT_TEST(request_notRepeated_expires);
     CPPUNIT_TEST(grantWaiting_severalNodes_mostUrgentFirst);
+    CPPUNIT_TEST(request_shortAndAllServersLimited_isNotHeldBackForLongOnes);
     CPPUNIT_TEST(report_rejected_countsTheServerAsFull);
     CPPUNIT_TEST(report_failures_ejectTheServer);
     CPPUNIT_TEST(report_firstByte_removesThePromptWork);
@@ -179,6 +181,26 @@
                              this->allocator->grantWaiting(this->now).at(0).destination);
     }
 
+    auto request_shortAndAllServersLimited_isNotHeldBackForLongOnes() -> void
+    {
+        const auto serverB = this->registry.find("b");
+        for (const auto *id : {"a", "b"}) {
+            this->registry.find(id)->requestLimit.update(1, this->now, this->now);
+        }
+        auto longRequest = this->makeRequest(2, 1);
+        longRequest.profile.expectedOutputTokens = 1000;
+        this->requestSlot(longRequest);
+        this->reportEvent(2, 1, SlotEvent::Neutral);
+        serverB->requestLimit.update(NoRequestLimit, this->now, this->now);
+        serverB->reportedOtherRequests = serverB->registration.slots;
+        this->now += milliseconds(1100);
+        serverB->reportedAt = this->now;
+        CPPUNIT_ASSERT(this->requestSlot(this->makeRequest(2, 2)).outcome == SlotOutcome::Queued);
+        this->reportEvent(2, 2, SlotEvent::Neutral);
+        serverB->requestLimit.update(1, this->now, this->now);
+        CPPUNIT_ASSERT(this->requestSlot(this->makeRequest(2, 3)).outcome == SlotOutcome::Granted);
+    }
+
     auto report_rejected_countsTheServerAsFull() -> void
     {
         const auto reply = this->requestSlot(this->makeRequest(2, 1));
