--- a/src/gateway/active_request_exchange.cpp
+++ b/src/gateway/active_request_exchange.cpp
@@ -2,7 +2,7 @@
 #include "banyanring/adapters/log_func.h"
 #include "banyanring/gateway/active_request.h"
 #include "request_headers.h"
-#include "request_limit_log_func.h"
+#include "request_limit_log.h"
 
 namespace banyanring::gateway {
 
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -4,7 +4,7 @@
 #include "banyanring/adapters/log_func.h"
 #include "banyanring/gateway/gossip_codec.h"
 #include "banyanring/ports/clock_func.h"
-#include "request_limit_log_func.h"
+#include "request_limit_log.h"
 
 namespace banyanring::gateway {
 
