Log which prompt part is blocked as a crash suspect

Cause: the log told that a request was rejected as a crash suspect, but not for which of its parts, so a wrong verdict on a part that sound requests share couldn't be told from a right one.

Change: the event crash_suspect and the step of each rejected request name the part.

--- a/include/banyanring/gateway/active_request.h
+++ b/include/banyanring/gateway/active_request.h
@@ -148,6 +148,7 @@
     auto writeLog(RequestOutcome outcome, int status) -> void;
     auto computeSuspects() -> void;
     auto isCrashSuspect() const -> bool;
+    auto blockedSuspect() const -> std::string;
     auto tryStartTrial() -> bool;
     auto rejectCrashSuspect() -> bool;
     auto recordLostRun(std::string_view reason) -> void;
--- a/src/gateway/active_request_suspects.cpp
+++ b/src/gateway/active_request_suspects.cpp
@@ -37,13 +37,20 @@
 }
 
 auto ActiveRequest::isCrashSuspect() const -> bool
+{
+    return !this->onTrial && !this->blockedSuspect().empty();
+}
+
+auto ActiveRequest::blockedSuspect() const -> std::string
 {
     const auto &suspects = this->scheduler.state.crashSuspects;
     const auto now = this->scheduler.clock();
-    return !this->onTrial
-           && (suspects.isBlocked(this->fingerprint, now)
-               || std::any_of(this->partSuspects.begin(), this->partSuspects.end(),
-                              [&](std::uint64_t part) { return suspects.isBlocked(part, now); }));
+    for (std::size_t index = 0; index < this->partSuspects.size(); ++index) {
+        if (suspects.isBlocked(this->partSuspects[index], now)) {
+            return "prompt part " + formatHex(this->request.sharedPromptParts[index]);
+        }
+    }
+    return suspects.isBlocked(this->fingerprint, now) ? "the whole request" : "";
 }
 
 auto ActiveRequest::tryStartTrial() -> bool
@@ -75,6 +82,7 @@
     if (!this->isCrashSuspect() || (this->dispatches == 0 && this->tryStartTrial())) {
         return false;
     }
+    this->addStep("blocked", this->blockedSuspect());
     if (this->mayHaveExecuted) {
         this->failMaybeExecuted(502, RequestOutcome::CrashSuspect);
     } else {
@@ -105,7 +113,8 @@
                           {"prompt_parts", std::move(parts)}});
     if (!wasSuspect && this->isCrashSuspect()) {
         logEvent("crash_suspect", {{"request_id", this->request.attemptId},
-                                   {"server", this->server->registration.id}});
+                                   {"server", this->server->registration.id},
+                                   {"blocked", this->blockedSuspect()}});
     }
 }
 
