Bound the informational responses before a response

Cause: a server in trouble can send 1xx responses without end. Each was dropped, so memory was bounded, but the exchange went on and kept the processor busy until the caller's deadline.

Change: the 1xx responses to one request may take as many bytes as a header.

Result: response_endlessBytesBeforeBody_isMalformed failed with endless 103 responses before (the exchange did not end), and passes now; fleet tests pass (226).

--- a/include/banyanring/gateway/outbound_connection.h
+++ b/include/banyanring/gateway/outbound_connection.h
@@ -104,6 +104,7 @@
     std::optional<Parser> parser;
     ResponseObserver *observer = nullptr;
     std::string currentOutput;
+    std::size_t informationalBytes = 0; ///< Of the 1xx responses to the current request.
     bool connected = false;
     bool closed = false;
     bool awaitingResponse = false;
--- a/src/gateway/outbound_connection.cpp
+++ b/src/gateway/outbound_connection.cpp
@@ -17,7 +17,8 @@
 using boost::system::error_code;
 
 constexpr std::size_t MaxReadBytes = 16384; ///< One read fits several events of a stream.
-constexpr std::uint32_t MaxHeaderBytes = 65536; ///< Maximum bytes of a response header.
+/** Maximum bytes of a response header, and of the informational responses before it. */
+constexpr std::uint32_t MaxHeaderBytes = 65536;
 /** The parser does not limit the length of chunk extensions and trailers. */
 constexpr std::size_t MaxUnparsedBytes = MaxHeaderBytes + MaxReadBytes;
 constexpr std::uint64_t MaxBodyBytes = 256ULL << 20U; ///< Maximum bytes of a response body.
@@ -31,6 +32,7 @@
 {
     this->observer = newObserver;
     this->awaitingResponse = true;
+    this->informationalBytes = 0;
     this->resetParser();
     auto self = this->shared_from_this();
     const auto parsed = fleet::parseEndpoint(address);
@@ -62,6 +64,7 @@
 {
     this->observer = newObserver;
     this->awaitingResponse = true;
+    this->informationalBytes = 0;
     this->resetParser();
 }
 
@@ -156,6 +159,11 @@
         }
         if (!this->headerReceived && this->parser->is_header_done()) {
             if (this->parser->get().result_int() < FirstFinalStatus) {
+                this->informationalBytes += consumed;
+                if (this->informationalBytes > MaxHeaderBytes) {
+                    this->fail(ConnectionFailure::Malformed);
+                    return;
+                }
                 this->resetParser();
                 continue;
             }
--- a/tests/fleet/server_connection_pool_tests.cpp
+++ b/tests/fleet/server_connection_pool_tests.cpp
@@ -229,6 +229,7 @@
         const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
         for (const auto &[begin, endless] : std::vector<std::pair<std::string, std::string>>{
                  {"HTTP/1.1 200 ", "OK"},
+                 {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
                  {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
                  {chunked + "1;", "name"},
                  {chunked + "0\r\n", "Name: value\r\n"}}) {
