First core: bound the memory of responses that do not end

Cause: the first core read its backend servers' responses and load reports with cpprestsdk, which grows its buffers without a bound: for a header until the empty line, for a body as fast as the server sends. A server in trouble that sends bytes without end took all memory of a node.

Change: a request to a backend server runs on the platform path's HTTP connection (at most 64 KB of header, one read of body at a time), on a thread of its own. Bodies that are answered as a whole take at most 32 MiB as before, and 48 MiB together; beyond that the longest is cut, which is not a crash of its server. A load report takes at most 1 MiB. As a side effect, exchanges end before the objects that they use are destroyed.

--- a/include/banyanring/adapters/backend_client.h
+++ b/include/banyanring/adapters/backend_client.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "banyanring/adapters/caller_listener.h"
+#include "banyanring/adapters/http_exchanger.h"
 
 #include <atomic>
-#include <cpprest/http_client.h>
 #include <mutex>
 #include <thread>
 #include <unordered_map>
@@ -12,8 +12,9 @@
 namespace banyanring {
 
 /**
- * Sends dispatches to backend servers and forwards requests to peers. No function blocks: each step
- * runs as a task of the HTTP library.
+ * Sends dispatches to backend servers and forwards requests to peers. No function blocks:
+ * dispatches run on the thread of the exchanger, and forwarded requests as tasks of the HTTP
+ * library.
  */
 class BackendClient
 {
@@ -42,22 +43,23 @@
     struct InFlightDispatch
     {
         Dispatch action;
-        pplx::cancellation_token_source cancelSource;
+        HttpExchangePtr exchange; ///< Unset until it has been sent.
+        std::atomic<bool> cancelled = false;
         std::string bufferedBody; ///< Body so far, for plain services and for `Dispatch::keepBody`.
         std::string contentType;
         int status = 0;
         std::uint32_t chunks = 0;
         std::atomic<std::int64_t> lastProgress = 0; ///< Microseconds since boot.
         bool streamingToCaller = false;
-        std::vector<std::uint8_t> buffer;
     };
     using InFlightPtr = std::shared_ptr<InFlightDispatch>;
 
-    auto onResponse(const InFlightPtr &inFlight, const web::http::http_response &response) -> void;
-    auto readChunk(const InFlightPtr &inFlight, const web::http::http_response &response) -> void;
-    auto onChunk(const InFlightPtr &inFlight, std::size_t count) -> void;
+    auto onHeader(const InFlightPtr &inFlight, int status, std::string contentType) -> void;
+    auto onBody(const InFlightPtr &inFlight, std::string_view bytes) -> void;
     auto finish(const InFlightPtr &inFlight) -> void;
-    auto fail(const InFlightPtr &inFlight, const std::exception_ptr &error) -> void;
+    auto fail(const InFlightPtr &inFlight, bool written, const std::string &error) -> void;
+    auto cancelExchange(const InFlightPtr &inFlight) -> void;
+    auto cancelLongest() -> void;
     auto remove(DispatchId id) -> void;
     auto cancelStalled() -> void;
 
@@ -66,7 +68,9 @@
     Duration stallTimeout;
     std::mutex mutex;
     std::unordered_map<DispatchId, InFlightPtr> dispatches;
+    std::size_t bufferedBytes = 0; ///< Of all dispatches; used by the exchanger's thread only.
     std::atomic<bool> stopping = false;
+    HttpExchanger exchanger;
     std::thread stallCheckThread;
 };
 
--- /dev/null
+++ b/include/banyanring/adapters/http_exchanger.h
@@ -0,0 +1,69 @@
+/** @file http_exchanger.h HTTP requests to backend servers, each on a connection of its own. */
+#pragma once
+
+#include "banyanring/core/ids_type.h"
+#include "banyanring/gateway/outbound_connection.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/beast/http/message.hpp>
+#include <functional>
+#include <set>
+#include <thread>
+
+namespace banyanring {
+
+class HttpExchange;
+using HttpExchangePtr = std::shared_ptr<HttpExchange>;
+
+/**
+ * Sends requests from a thread of its own, which also calls all handlers. It buffers no body and
+ * bounds the memory of headers, so that a server that sends bytes without end takes no memory.
+ */
+class HttpExchanger
+{
+public:
+    /** A request with its body. */
+    using Request = boost::beast::http::request<boost::beast::http::string_body>;
+
+    /** Receives the events of an exchange; the last one is onEnd or onFailed. */
+    struct Handlers
+    {
+        std::function<void(int status, std::string contentType)> onHeader;
+        /** An exception ends the exchange; its text is the error. */
+        std::function<void(std::string_view bytes)> onBody;
+        std::function<void()> onEnd; ///< The response is complete.
+        /** @param connected Whether the request may have reached the server. */
+        std::function<void(bool connected, const std::string &error)> onFailed;
+    };
+
+    HttpExchanger();
+    /** Ends all exchanges without further events. */
+    ~HttpExchanger();
+    HttpExchanger(const HttpExchanger &) = delete;
+    auto operator=(const HttpExchanger &) -> HttpExchanger & = delete;
+
+    /**
+     * Sends a request.
+     * @param address "host:port".
+     * @param request The request; Host and Content-Length are added.
+     * @param timeout Maximum time until the end of the response.
+     * @param handlers Receives the events.
+     * @return The exchange.
+     */
+    auto send(const std::string &address, Request request, Duration timeout, Handlers handlers)
+        -> HttpExchangePtr;
+
+    /**
+     * Closes the connection of an exchange, which then fails. May be called by any thread.
+     * @param exchange The exchange; ignored if it has ended.
+     */
+    auto cancel(const HttpExchangePtr &exchange) -> void;
+
+private:
+    boost::asio::io_context context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> workGuard;
+    std::set<HttpExchangePtr> openExchanges; ///< Used by the thread only.
+    std::thread thread;
+};
+
+} // namespace banyanring
--- a/include/banyanring/adapters/load_report_poller.h
+++ b/include/banyanring/adapters/load_report_poller.h
@@ -1,6 +1,7 @@
 /** @file load_report_poller.h Polls the load reports of backend servers. */
 #pragma once
 
+#include "banyanring/adapters/http_exchanger.h"
 #include "banyanring/core/config_type.h"
 #include "banyanring/ports/inbox.h"
 
@@ -43,7 +44,7 @@
     std::mutex mutex;
     std::vector<Target> targets;
     std::atomic<bool> stopping = false;
-    std::atomic<std::size_t> openRequests = 0; ///< Requests without a response or timeout.
+    HttpExchanger exchanger;
     std::thread thread;
 };
 
--- a/src/adapters/backend_client.cpp
+++ b/src/adapters/backend_client.cpp
@@ -4,18 +4,23 @@
 #include "banyanring/adapters/log_func.h"
 #include "banyanring/ports/clock_func.h"
 
+#include <algorithm>
+#include <cpprest/http_client.h>
+
 namespace banyanring {
 
 namespace {
 
+namespace http = boost::beast::http;
 using web::http::http_request;
 using web::http::http_response;
 using web::http::client::http_client;
 
 /** Interval of checks for stalled engines. */
 constexpr std::chrono::milliseconds StallCheckInterval{100};
-constexpr std::size_t ChunkBytes = 16384; ///< Maximum size of one read.
 constexpr std::size_t MaxBodyBytes = 32U << 20U; ///< A dispatch with a longer buffered body fails.
+/** Bytes in the buffered bodies of all dispatches; the longest fails if there are more. */
+constexpr std::size_t MaxTotalBodyBytes = 48U << 20U;
 constexpr std::chrono::seconds ForwardTimeout{300}; ///< Maximum time for the response of a peer.
 
 /** @return A client for the server at @p address ("host:port"). */
@@ -23,37 +28,9 @@
 {
     web::http::client::http_client_config config;
     config.set_timeout(timeout);
-    config.set_chunksize(ChunkBytes);
     return {"http://" + address, config};
 }
 
-/**
- * Recognises the connect and resolve errors of the HTTP library by their texts.
- * @return Whether an error occurred before any byte of the request was written.
- */
-auto failedBeforeWrite(const std::exception_ptr &error) -> bool
-{
-    try {
-        std::rethrow_exception(error);
-    } catch (const web::http::http_exception &exception) {
-        const std::string_view what = exception.what();
-        return what.starts_with("Failed to connect") || what.starts_with("Failed to resolve")
-               || what.find("Error resolving") != std::string_view::npos;
-    } catch (const std::exception &) {
-        return false;
-    }
-}
-
-/** @return The message of an error. */
-auto errorMessage(const std::exception_ptr &error) -> std::string
-{
-    try {
-        std::rethrow_exception(error);
-    } catch (const std::exception &exception) {
-        return exception.what();
-    }
-}
-
 } // namespace
 
 BackendClient::BackendClient(CallerListener &callers, Inbox &inbox, Duration stallTimeout)
@@ -86,7 +63,7 @@
         for (const auto &inFlight : stalled) {
             logEvent("silent_engine", {{"request_id", inFlight->action.requestId},
                                        {"address", inFlight->action.address}});
-            inFlight->cancelSource.cancel();
+            this->cancelExchange(inFlight);
         }
     }
 }
@@ -108,7 +85,16 @@
         }
         inFlight = found->second;
     }
-    inFlight->cancelSource.cancel();
+    this->cancelExchange(inFlight);
+}
+
+auto BackendClient::cancelExchange(const InFlightPtr &inFlight) -> void
+{
+    inFlight->cancelled = true;
+    const std::scoped_lock lock(this->mutex);
+    if (inFlight->exchange) {
+        this->exchanger.cancel(inFlight->exchange);
+    }
 }
 
 auto BackendClient::dispatch(const Dispatch &action) -> void
@@ -121,89 +107,69 @@
     auto inFlight = std::make_shared<InFlightDispatch>();
     inFlight->action = action;
     inFlight->lastProgress = bootClockNow().count();
-    inFlight->buffer.resize(ChunkBytes);
     {
         const std::scoped_lock lock(this->mutex);
         this->dispatches.emplace(action.dispatch, inFlight);
     }
-    // The library silently resends a request if the server closes a reused connection meanwhile,
-    // and a dispatch must not run twice. So each dispatch uses a new connection.
-    http_request request(web::http::methods::POST);
-    request.set_request_uri(call->path);
-    request.headers().add("Connection", "close");
-    request.headers().add("X-Banyan-Request-Id", action.requestId);
-    request.headers().add("X-Banyan-Organisation", action.organisation);
     const auto maxRunSeconds =
         std::chrono::duration_cast<std::chrono::seconds>(action.maxRunTime).count();
-    request.headers().add("X-Banyan-Deadline-S", std::to_string(maxRunSeconds));
-    request.set_body(call->body,
-                     call->contentType.empty() ? "application/octet-stream" : call->contentType);
+    HttpExchanger::Request request;
+    request.method(http::verb::post);
+    request.target(call->path);
+    request.set("X-Banyan-Request-Id", action.requestId);
+    request.set("X-Banyan-Organisation", action.organisation);
+    request.set("X-Banyan-Deadline-S", std::to_string(maxRunSeconds));
+    request.set(http::field::content_type,
+                call->contentType.empty() ? "application/octet-stream" : call->contentType);
+    request.body() = call->body;
     if (bootClockNow() >= action.validUntil) {
         this->remove(action.dispatch);
         this->inbox.tryPush(Lane::Control, Event(BackendFailed{action.dispatch, false, false}));
         return;
     }
-    makeClient(action.address, std::chrono::seconds(maxRunSeconds + 1))
-        .request(request, inFlight->cancelSource.get_token())
-        .then([this, inFlight](const pplx::task<http_response> &task) {
-            try {
-                this->onResponse(inFlight, task.get());
-            } catch (...) {
-                this->fail(inFlight, std::current_exception());
-            }
-        });
+    const std::scoped_lock lock(this->mutex);
+    inFlight->exchange = this->exchanger.send(
+        action.address, std::move(request), std::chrono::seconds(maxRunSeconds + 1),
+        {[this, inFlight](int status, std::string contentType) {
+             this->onHeader(inFlight, status, std::move(contentType));
+         },
+         [this, inFlight](std::string_view bytes) { this->onBody(inFlight, bytes); },
+         [this, inFlight] { this->finish(inFlight); },
+         [this, inFlight](bool connected, const std::string &error) {
+             this->fail(inFlight, connected, error);
+         }});
+    if (inFlight->cancelled) {
+        this->exchanger.cancel(inFlight->exchange);
+    }
 }
 
-auto BackendClient::onResponse(const InFlightPtr &inFlight, const http_response &response) -> void
+auto BackendClient::onHeader(const InFlightPtr &inFlight, int status, std::string contentType)
+    -> void
 {
     this->inbox.tryPush(Lane::Control, Event(BackendFirstByte{inFlight->action.dispatch}));
-    inFlight->status = response.status_code();
-    inFlight->contentType = response.headers().content_type();
+    inFlight->status = status;
+    inFlight->contentType = std::move(contentType);
     if (inFlight->action.kind == BackendKind::Engine) {
         inFlight->streamingToCaller = this->callers.startStream(
             inFlight->action.call, inFlight->status, inFlight->contentType);
     }
-    this->readChunk(inFlight, response);
-}
-
-auto BackendClient::readChunk(const InFlightPtr &inFlight, const http_response &response) -> void
-{
-    auto body = response.body().streambuf();
-    // Reading one byte waits for data; the rest that has arrived can then be read without waiting.
-    body.getn(inFlight->buffer.data(), 1)
-        .then([this, inFlight, response, body](std::size_t count) mutable {
-            if (count == 0) {
-                // Throws if the body is shorter than its framing announced.
-                return response.content_ready().then(
-                    [this, inFlight](const http_response &) { this->finish(inFlight); });
-            }
-            const auto more = std::min(body.in_avail(), ChunkBytes - 1);
-            return body.getn(inFlight->buffer.data() + 1, more)
-                .then([this, inFlight, response](std::size_t rest) {
-                    this->onChunk(inFlight, rest + 1);
-                    this->readChunk(inFlight, response);
-                });
-        })
-        .then([this, inFlight](const pplx::task<void> &task) {
-            try {
-                task.get();
-            } catch (...) {
-                this->fail(inFlight, std::current_exception());
-            }
-        });
 }
 
-auto BackendClient::onChunk(const InFlightPtr &inFlight, std::size_t count) -> void
+auto BackendClient::onBody(const InFlightPtr &inFlight, std::string_view bytes) -> void
 {
-    const std::string_view bytes(reinterpret_cast<const char *>(inFlight->buffer.data()), count);
     ++inFlight->chunks;
     inFlight->lastProgress = bootClockNow().count();
     const bool keep = inFlight->action.kind == BackendKind::Plain || inFlight->action.keepBody;
-    if (keep && inFlight->bufferedBody.size() + count > MaxBodyBytes) {
+    if (keep && inFlight->bufferedBody.size() + bytes.size() > MaxBodyBytes) {
+        inFlight->cancelled = true; // The server has not crashed.
         throw std::runtime_error("response body is longer than 32 MiB");
     }
     if (keep) {
         inFlight->bufferedBody.append(bytes);
+        this->bufferedBytes += bytes.size();
+        if (this->bufferedBytes > MaxTotalBodyBytes) {
+            this->cancelLongest();
+        }
     }
     if (inFlight->streamingToCaller) {
         inFlight->streamingToCaller = this->callers.writeStream(inFlight->action.call, bytes);
@@ -213,10 +179,30 @@
     }
 }
 
+auto BackendClient::cancelLongest() -> void
+{
+    InFlightPtr longest;
+    {
+        const std::scoped_lock lock(this->mutex);
+        const auto found = std::max_element(this->dispatches.begin(), this->dispatches.end(),
+                                            [](const auto &first, const auto &second) {
+                                                return first.second->bufferedBody.size()
+                                                       < second.second->bufferedBody.size();
+                                            });
+        longest = found->second;
+    }
+    if (!longest->cancelled) {
+        logEvent("body_too_long",
+                 {{"request_id", longest->action.requestId}, {"address", longest->action.address}});
+        this->cancelExchange(longest);
+    }
+}
+
 auto BackendClient::finish(const InFlightPtr &inFlight) -> void
 {
     const auto &action = inFlight->action;
     this->remove(action.dispatch);
+    this->bufferedBytes -= inFlight->bufferedBody.size();
     if (action.kind == BackendKind::Plain) {
         const auto call = this->callers.find(action.call);
         this->callers.respond(action.call, inFlight->status, inFlight->contentType,
@@ -235,22 +221,19 @@
                                                inFlight->chunks, inFlight->contentType}));
 }
 
-auto BackendClient::fail(const InFlightPtr &inFlight, const std::exception_ptr &error) -> void
+auto BackendClient::fail(const InFlightPtr &inFlight, bool written, const std::string &error)
+    -> void
 {
     const auto &action = inFlight->action;
     this->remove(action.dispatch);
-    const bool cancelled = inFlight->cancelSource.get_token().is_canceled();
-    const bool written = inFlight->status != 0 || !failedBeforeWrite(error);
+    this->bufferedBytes -= inFlight->bufferedBody.size();
     logEvent("dispatch_failed", {{"request_id", action.requestId},
                                  {"address", action.address},
                                  {"written", written ? "yes" : "no"},
-                                 {"error", errorMessage(error)}});
+                                 {"error", error}});
     const bool callerStreamClosed = inFlight->action.kind == BackendKind::Engine
                                     && inFlight->status != 0 && !inFlight->streamingToCaller;
-    if (callerStreamClosed) {
-        inFlight->cancelSource.cancel();
-    }
-    const bool connectionLost = !cancelled && !callerStreamClosed;
+    const bool connectionLost = !inFlight->cancelled && !callerStreamClosed;
     this->inbox.tryPush(Lane::Control,
                         Event(BackendFailed{action.dispatch, written, connectionLost}));
 }
--- /dev/null
+++ b/src/adapters/http_exchanger.cpp
@@ -0,0 +1,186 @@
+/** @file http_exchanger.cpp HTTP requests to backend servers, each on a connection of its own. */
+#include "banyanring/adapters/http_exchanger.h"
+
+#include "banyanring/fleet/process_settings_type.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http/write.hpp>
+#include <sstream>
+
+namespace banyanring {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using gateway::ConnectionFailure;
+
+constexpr unsigned HttpVersion = 11; ///< HTTP/1.1, as the library writes it.
+
+/** @return Description of a failure for the log. */
+auto failureText(ConnectionFailure failure) -> std::string
+{
+    switch (failure) {
+    case ConnectionFailure::NotConnected:
+        return "cannot connect";
+    case ConnectionFailure::Closed:
+        return "connection closed without a response";
+    case ConnectionFailure::Truncated:
+        return "response truncated";
+    case ConnectionFailure::Malformed:
+        return "response malformed or header too long";
+    }
+    return "unknown failure";
+}
+
+} // namespace
+
+/** One request and its response. */
+class HttpExchange : public gateway::ResponseObserver,
+                     public std::enable_shared_from_this<HttpExchange>
+{
+public:
+    HttpExchange(asio::io_context &context, std::set<HttpExchangePtr> &open,
+                 std::string requestBytes, HttpExchanger::Handlers handlers)
+        : open(open), requestBytes(std::move(requestBytes)), handlers(std::move(handlers)),
+          resolver(context), timer(context),
+          connection(std::make_shared<gateway::OutboundConnection>(context))
+    {
+    }
+
+    /** Opens the connection. */
+    auto start(const std::string &address, Duration timeout) -> void
+    {
+        this->open.insert(this->shared_from_this());
+        this->timer.expires_after(timeout);
+        this->timer.async_wait([self = this->shared_from_this()](const error_code &error) {
+            if (!error) {
+                self->end("timed out");
+            }
+        });
+        if (fleet::parseEndpoint(address)) {
+            this->connection->connect(address, this);
+            return;
+        }
+        const auto colon = address.rfind(':');
+        this->resolver.async_resolve(
+            asio::ip::tcp::v4(), address.substr(0, colon),
+            colon == std::string::npos ? "" : address.substr(colon + 1),
+            [self = this->shared_from_this()](const error_code &error, const auto &results) {
+                if (error || results.empty()) {
+                    self->end("cannot resolve the address");
+                } else if (!self->ended) {
+                    const asio::ip::tcp::endpoint endpoint = *results.begin();
+                    self->connection->connect(endpoint.address().to_string() + ":"
+                                                  + std::to_string(endpoint.port()),
+                                              self.get());
+                }
+            });
+    }
+
+    /** Ends the exchange; @p error is empty if the response is complete. */
+    auto end(const std::string &error) -> void
+    {
+        if (std::exchange(this->ended, true)) {
+            return;
+        }
+        const auto self = this->shared_from_this();
+        this->open.erase(self);
+        this->connection->close();
+        this->resolver.cancel();
+        this->timer.cancel();
+        if (error.empty()) {
+            this->handlers.onEnd();
+        } else {
+            this->handlers.onFailed(this->connected, error);
+        }
+        this->handlers = {};
+    }
+
+    /** Drops the handlers and what they refer to; no further event is reported. */
+    auto abandon() -> void
+    {
+        this->ended = true;
+        this->handlers = {};
+    }
+
+    auto onConnected() -> void override
+    {
+        this->connected = true;
+        this->connection->send(std::move(this->requestBytes));
+    }
+
+    auto onHeader(const gateway::ResponseHeader &header) -> void override
+    {
+        const auto contentType = header[http::field::content_type];
+        this->handlers.onHeader(static_cast<int>(header.result_int()),
+                                std::string(contentType.data(), contentType.size()));
+    }
+
+    auto onBody(std::string data) -> void override
+    {
+        try {
+            this->handlers.onBody(data);
+        } catch (const std::exception &error) {
+            this->end(error.what());
+        }
+    }
+
+    auto onEnd(bool /*reusable*/) -> void override
+    {
+        this->end("");
+    }
+
+    auto onFailed(ConnectionFailure failure) -> void override
+    {
+        this->end(failureText(failure));
+    }
+
+private:
+    std::set<HttpExchangePtr> &open;
+    std::string requestBytes;
+    HttpExchanger::Handlers handlers;
+    asio::ip::tcp::resolver resolver;
+    asio::steady_timer timer;
+    std::shared_ptr<gateway::OutboundConnection> connection;
+    bool connected = false;
+    bool ended = false;
+};
+
+HttpExchanger::HttpExchanger() : workGuard(this->context.get_executor())
+{
+    this->thread = std::thread([this] { this->context.run(); });
+}
+
+HttpExchanger::~HttpExchanger()
+{
+    this->context.stop();
+    this->thread.join();
+    for (const auto &exchange : this->openExchanges) {
+        exchange->abandon();
+    }
+}
+
+auto HttpExchanger::send(const std::string &address, Request request, Duration timeout,
+                         Handlers handlers) -> HttpExchangePtr
+{
+    request.version(HttpVersion);
+    request.set(http::field::host, address);
+    request.set(http::field::connection, "close");
+    request.prepare_payload();
+    std::ostringstream bytes;
+    bytes << request;
+    auto exchange = std::make_shared<HttpExchange>(this->context, this->openExchanges,
+                                                   std::move(bytes).str(), std::move(handlers));
+    asio::post(this->context, [exchange, address, timeout] { exchange->start(address, timeout); });
+    return exchange;
+}
+
+auto HttpExchanger::cancel(const HttpExchangePtr &exchange) -> void
+{
+    asio::post(this->context, [exchange] { exchange->end("cancelled"); });
+}
+
+} // namespace banyanring
--- a/src/adapters/load_report_poller.cpp
+++ b/src/adapters/load_report_poller.cpp
@@ -3,7 +3,6 @@
 
 #include "banyanring/ports/clock_func.h"
 
-#include <cpprest/http_client.h>
 #include <nlohmann/json.hpp>
 
 namespace banyanring {
@@ -14,6 +13,7 @@
 
 /** A server that does not respond within this time is reported as unreachable. */
 constexpr std::chrono::seconds RequestTimeout{2};
+constexpr std::size_t MaxReportBytes = 1U << 20U; ///< Longer reports are not read.
 constexpr std::chrono::milliseconds StopCheckInterval{50}; ///< Interval of stop checks.
 
 /** @return The report in @p text, which was requested at @p requestedAt. */
@@ -46,9 +46,6 @@
 {
     this->stopping = true;
     this->thread.join();
-    while (this->openRequests > 0) {
-        std::this_thread::sleep_for(StopCheckInterval);
-    }
 }
 
 auto LoadReportPoller::setTargets(std::vector<Target> newTargets) -> void
@@ -77,29 +74,34 @@
 
 auto LoadReportPoller::poll(const Target &target) -> void
 {
-    ++this->openRequests;
     const auto requestedAt = bootClockNow();
-    web::http::client::http_client_config config;
-    config.set_timeout(RequestTimeout);
-    web::http::client::http_client client("http://" + target.address, config);
-    web::http::http_request request(web::http::methods::GET);
-    request.set_request_uri("/load");
-    request.headers().add("Connection", "close");
-    client.request(request)
-        .then([](const web::http::http_response &response) {
-            return response.extract_utf8string(true);
-        })
-        .then([this, target, requestedAt](const pplx::task<std::string> &task) {
-            LoadReport report;
-            report.server = target.server;
-            try {
-                report = parseReport(target.server, task.get(), requestedAt);
-            } catch (const std::exception &) {
-                report.startedAt = 0; // Unreachable, or the report is malformed.
-            }
-            this->inbox.tryPush(Lane::Control, Event(report));
-            --this->openRequests;
-        });
+    HttpExchanger::Request request;
+    request.method(boost::beast::http::verb::get);
+    request.target("/load");
+    const auto text = std::make_shared<std::string>();
+    const auto finish = [this, target, requestedAt, text] {
+        LoadReport report;
+        report.server = target.server;
+        try {
+            report = parseReport(target.server, *text, requestedAt);
+        } catch (const std::exception &) {
+            report.startedAt = 0; // Unreachable, or the report is malformed.
+        }
+        this->inbox.tryPush(Lane::Control, Event(report));
+    };
+    this->exchanger.send(target.address, std::move(request), RequestTimeout,
+                         {[](int, const std::string &) {},
+                          [text](std::string_view bytes) {
+                              text->append(bytes);
+                              if (text->size() > MaxReportBytes) {
+                                  throw std::runtime_error("load report is too long");
+                              }
+                          },
+                          finish,
+                          [finish, text](bool, const std::string &) {
+                              text->clear();
+                              finish();
+                          }});
 }
 
 } // namespace banyanring
--- a/tests/process/process_tests.py
+++ b/tests/process/process_tests.py
@@ -231,6 +231,87 @@
             "/draft", {"max_tokens": 3, "again": time.monotonic()}).status == 200)
 
 
+class EndlessServer:
+    """A server that sends bytes without end in response to some paths, until the other side closes."""
+
+    def __init__(self, address):
+        self.beginning = {}  # First bytes by path; other paths get a load report.
+        host, port = address.split(":")
+        self.listener = socket.create_server((host, int(port)))
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            threading.Thread(target=self.serve, args=(self.listener.accept()[0],), daemon=True).start()
+
+    def serve(self, connection):
+        with connection:
+            try:
+                head = connection.recv(65536).decode()
+                beginning = self.beginning.get(head.split()[1])
+                if beginning is None:
+                    report = '{"started_at": 1, "running": 0}'
+                    connection.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {len(report)}\r\n\r\n{report}".encode())
+                    return
+                connection.sendall(beginning)
+                while True:
+                    connection.sendall(b"name: value " * 10000)
+            except (OSError, IndexError):
+                pass
+
+
+def test_endless():
+    """Servers send heads and bodies without end; memory stays bounded, and callers get an answer."""
+    max_resident_mb = 256  # Target: control per node.
+    head = b"HTTP/1.1 200 "
+    body = b"HTTP/1.1 200 OK\r\n\r\n"
+
+    def max_resident(node):
+        with open(f"/proc/{fleet.processes[f'node-{node}'].pid}/status") as status:
+            return max(int(line.split()[1]) for line in status if line.startswith("VmHWM")) / 1024
+
+    fleet = Fleet(nodes=3, engines=1, plains=1)
+    for service in fleet.config["services"]:
+        service["longest_run_ms"] = 4000
+    for route in fleet.config["routes"]:
+        route["deadline_ms"] = 5000
+    with fleet:
+        fleet.wait_ready()
+        servers = []
+        for name, (_, address, _) in fleet.backends.items():
+            fleet.kill(name)
+            servers.append(EndlessServer(address))
+        for path, beginning in (("/lookup", head), ("/lookup", body), ("/draft", head), ("/draft", body)):
+            for server in servers:
+                server.beginning = {path: beginning}
+            outcomes = []
+
+            def call(number):
+                try:
+                    response = Caller(fleet, "red").send(path, {"max_tokens": 3, "number": number})
+                    outcomes.append((response.status, response.complete))
+                except OSError:
+                    outcomes.append((0, False))
+
+            callers = [threading.Thread(target=call, args=(number,)) for number in range(3)]
+            for caller in callers:
+                caller.start()
+            for caller in callers:
+                while caller.is_alive():
+                    caller.join(0.05)
+                    for node in fleet.nodes:
+                        assert max_resident(node) < max_resident_mb, (path, beginning, max_resident(node))
+            print(path, beginning, outcomes, [round(max_resident(node)) for node in fleet.nodes])
+            assert all(status != 200 or not complete for status, complete in outcomes), outcomes
+        for server in servers:
+            server.beginning = {"/load": body}
+        end = time.monotonic() + 5
+        while time.monotonic() < end:
+            time.sleep(0.05)
+            for node in fleet.nodes:
+                assert max_resident(node) < max_resident_mb, ("/load", max_resident(node))
+
+
 def test_garbage():
     with Fleet(nodes=3) as fleet:
         fleet.wait_ready()
