Crash suspects: report single crashes from the node that saw them only

Cause: a node passed on each crash that it heard of for 2 s. About ten sound requests run at a server when it crashes, so their records filled the gossip of the whole fleet: up to 17 KB/s per node in a simulated fleet of 350 nodes with 20 crashes a second, where 5 KB/s are allowed for all control traffic.

Change: a crash that is the only one of its suspect is reported by the node that saw it, for 1 s; two or more spread from node to node as before. As the node sends to 50 peers in that time, some node hears of both.

--- a/include/banyanring/fleet/crash_suspects.h
+++ b/include/banyanring/fleet/crash_suspects.h
@@ -98,8 +98,8 @@
     static constexpr std::size_t MaxReports = 24; ///< Limits the size of a gossip message.
 
 private:
-    /** Gossip of every node has arrived everywhere after this time. */
-    static constexpr Duration NewsLifetime = std::chrono::seconds(2);
+    /** Several gossip rounds. */
+    static constexpr Duration NewsLifetime = std::chrono::seconds(1);
     static constexpr Instant LongAgo{std::numeric_limits<Instant::rep>::min() / 2};
 
     /** Crash of one start of a server. */
@@ -125,7 +125,7 @@
         std::size_t maxCrashes = 0; ///< Most crashes that this node or a peer has counted.
     };
 
-    auto addCrash(Suspect &suspect, const Crash &crash, Instant now) -> void;
+    auto addCrash(Suspect &suspect, const Crash &crash, bool isReportable, Instant now) -> void;
     auto refute(Suspect &suspect, Instant answeredAt) -> bool;
     auto entry(std::uint64_t hash) -> Suspect &;
     static auto expiryTime(const Suspect &suspect) -> Instant;
--- a/src/fleet/crash_suspects.cpp
+++ b/src/fleet/crash_suspects.cpp
@@ -58,7 +58,8 @@
     return this->suspects[hash];
 }
 
-auto CrashSuspects::addCrash(Suspect &suspect, const Crash &crash, Instant now) -> void
+auto CrashSuspects::addCrash(Suspect &suspect, const Crash &crash, bool isReportable, Instant now)
+    -> void
 {
     const bool isFull = suspect.crashes.size() >= MaxCrashes;
     if ((isFull && crash.crashedAt <= suspect.crashes.front().crashedAt)
@@ -66,10 +67,14 @@
                        [&](const Crash &known) { return known.mayShareCause(crash); })) {
         return;
     }
-    suspect.changedAt = now;
-    this->lastChangeAt = now;
-    if (crash.crashedAt <= suspect.answeredAt) {
-        return; // Peers that still count this crash have to learn of the answer.
+    const bool isRefuted = crash.crashedAt <= suspect.answeredAt;
+    // Peers that still count a refuted crash have to learn of the answer.
+    if (isReportable || (!isRefuted && suspect.crashes.size() + 1 >= MinRepeatedCrashes)) {
+        suspect.changedAt = now;
+        this->lastChangeAt = now;
+    }
+    if (isRefuted) {
+        return;
     }
     const auto position = std::upper_bound(
         suspect.crashes.begin(), suspect.crashes.end(), crash,
@@ -93,7 +98,7 @@
                                 Instant now) -> void
 {
     this->addCrash(this->entry(suspect),
-                   {serverHash, std::max(startedAt, now - MaxSimultaneity), now}, now);
+                   {serverHash, std::max(startedAt, now - MaxSimultaneity), now}, true, now);
 }
 
 auto CrashSuspects::recordAnswer(std::uint64_t suspect, Instant answeredAt) -> void
@@ -115,11 +120,14 @@
             this->lastChangeAt = now;
         }
         suspect.maxCrashes = std::max(suspect.maxCrashes, report.crashes.size());
+        // Single crashes are reported by the node that saw them only, as most requests that run at
+        // a server when it crashes are sound.
+        const bool isRepeated = report.crashes.size() >= MinRepeatedCrashes;
         for (const auto &crash : report.crashes) {
             if (crash.age < crashRetention(report.crashes.size())) {
                 const auto crashedAt = now - crash.age;
                 this->addCrash(suspect, {crash.serverHash, crashedAt - crash.runTime, crashedAt},
-                               now);
+                               isRepeated, now);
             }
         }
     }
--- a/tests/fleet/crash_suspect_fleet_tests.cpp
+++ b/tests/fleet/crash_suspect_fleet_tests.cpp
@@ -2,10 +2,12 @@
  * @file crash_suspect_fleet_tests.cpp Simulated fleets that get requests which crash servers.
  */
 #include "banyanring/fleet/crash_suspects.h"
+#include "banyanring/gateway/gossip_codec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <deque>
 #include <random>
+#include <utility>
 
 namespace {
 
@@ -20,6 +22,7 @@
     CPPUNIT_TEST_SUITE(CrashingPromptPartFleetFixture);
     CPPUNIT_TEST(promptPart_crashesServersOf87Nodes_isBlockedInTime);
     CPPUNIT_TEST(promptPart_crashesServersOf350Nodes_isBlockedInTime);
+    CPPUNIT_TEST(promptPart_crashesServersOf350NodesRarely_isBlockedInTime);
     CPPUNIT_TEST(promptPart_soundInHerdOfCrashes_isServed);
     CPPUNIT_TEST(promptPart_rareBesideFrequentDeadlyPart_isServed);
     CPPUNIT_TEST_SUITE_END();
@@ -39,6 +42,13 @@
         }
     }
 
+    auto promptPart_crashesServersOf350NodesRarely_isBlockedInTime() -> void
+    {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            this->runDeadlyPart(350, 1, seed);
+        }
+    }
+
     auto promptPart_soundInHerdOfCrashes_isServed() -> void
     {
         for (std::uint64_t seed = 1; seed <= 20; ++seed) {
@@ -75,6 +85,10 @@
     static constexpr Duration RunTime = milliseconds(300); ///< Until the first event or the crash.
     static constexpr int MaxLateRequests = 3; ///< Requests that may still run; users' rule BUDGET.
     static constexpr int LossPercent = 10;
+    static constexpr int OtherRuns = 10; ///< Sound requests that run at a server when it crashes.
+    static constexpr std::size_t MaxBytesPerSecond = 5000; ///< Target: control traffic of a node.
+    static constexpr std::size_t MinFleetForTarget = 80; ///< Smaller ones have bytes to spare.
+    static constexpr int StepsPerSecond = 20;
     static constexpr std::size_t FanOut = 10;
     static constexpr int RoundSteps = 4;
     static constexpr int RoundsPerFullMessage = 5;
@@ -93,6 +107,7 @@
         this->now = seconds(100);
         this->soundRuns.clear();
         this->rejected = 0;
+        this->sentBytes = 0;
     }
 
     auto anyNode() -> std::size_t
@@ -133,6 +148,7 @@
                 continue;
             }
             const auto reports = this->nodes[node].reports(this->now);
+            this->sentBytes += FanOut * encodedBytes(reports);
             for (std::size_t target = 0; target < FanOut; ++target) {
                 if (this->random() % 100 >= LossPercent) {
                     this->nodes[this->anyNode()].mergePeerReports(reports, this->now);
@@ -141,6 +157,23 @@
         }
     }
 
+    /** @return Bytes that reports add to a gossip message. */
+    static auto encodedBytes(const std::vector<fleet::CrashSuspectReport> &reports) -> std::size_t
+    {
+        fleet::GossipMessage message;
+        const auto emptyBytes = gateway::encodeGossip(message).size();
+        message.crashSuspects = reports;
+        return gateway::encodeGossip(message).size() - emptyBytes;
+    }
+
+    /** Checks the bytes that all nodes have sent within the last second. */
+    auto checkSentBytes(const std::string &seedText) -> void
+    {
+        const auto sent = std::exchange(this->sentBytes, 0) / this->nodes.size();
+        CPPUNIT_ASSERT_MESSAGE(seedText + ", bytes: " + std::to_string(sent),
+                               sent <= MaxBytesPerSecond || this->nodes.size() < MinFleetForTarget);
+    }
+
     /** Runs a deadly part at the given rate for 20 s, and checks how many requests run too late. */
     auto runDeadlyPart(std::size_t nodeCount, std::uint32_t perSecond, std::uint64_t seed) -> void
     {
@@ -150,8 +183,9 @@
         int crashes = 0;
         int lateRequests = 0;
         auto fifthCrashAt = Never;
+        const auto seedText = "seed " + std::to_string(seed);
         for (int step = 0; step < 400; ++step) {
-            if (step % 20 == 0) {
+            if (step % StepsPerSecond == 0) {
                 const auto restarted = this->anyNode(); // Knows nothing afterwards.
                 this->nodes[restarted] = {};
                 restartedAt[restarted] = this->now;
@@ -171,13 +205,18 @@
                 this->nodes[run.node].recordCrash(DeadlyPart, server, run.startedAt, this->now);
                 this->nodes[run.node].recordCrash(SoundPart, server, run.startedAt, this->now);
                 this->loseRun(SoundPart, server);
+                for (int other = 0; other < OtherRuns; ++other) {
+                    this->loseRun(this->nextOtherPart++, server);
+                }
                 fifthCrashAt = ++crashes == 5 ? this->now : fifthCrashAt;
                 deadlyRuns.pop_front();
             }
             this->runSound(step % this->soundInterval == 0 ? this->soundCount : 0);
             this->exchangeGossip(step);
+            if (step % StepsPerSecond == 0) {
+                this->checkSentBytes(seedText);
+            }
         }
-        const auto seedText = "seed " + std::to_string(seed);
         CPPUNIT_ASSERT_MESSAGE(seedText, crashes >= 3);
         CPPUNIT_ASSERT_MESSAGE(seedText, lateRequests <= MaxLateRequests);
         const int soundRequests = 400 / this->soundInterval * this->soundCount;
@@ -191,6 +230,8 @@
     std::deque<FleetRun> soundRuns;
     int rejected = 0; ///< Sound requests that were blocked.
     std::uint32_t nextServer = 1;
+    std::uint64_t nextOtherPart = 1000;
+    std::size_t sentBytes = 0; ///< Reports that all nodes have sent since the last check.
     int soundCount = 2; ///< Sound requests in each step that has some.
     int soundInterval = 1; ///< Steps from one of these steps to the next.
     int maxRejectedPercent = 1; ///< Sound requests that may be blocked.
