Servers' limits: gossip changes in full messages only in large fleets

Cause: each gossip message carried up to 8 changed limits. If the limits of many servers change all the time, that is 8 x 14 bytes in 50 messages a second, 5.6 KB/s per node (calculated), where 5 KB/s are allowed for all control traffic.

Change: above 20 nodes limits are in each fifth message only, like loads and usages, 1.1 KB/s at most (calculated). Coordinators get limits with the requests' reports, so only nodes without a coordinator depend on gossip.

--- a/include/banyanring/gateway/peer_gossip.h
+++ b/include/banyanring/gateway/peer_gossip.h
@@ -42,7 +42,8 @@
         bool replyRequested = false;
         bool relayedStatuses = false; ///< Statuses of other nodes.
         bool slowlyChanging = false; ///< Server latencies and known crash suspects.
-        bool loadsAndUsages = false; ///< Own load on the servers and own quota usages.
+        /** Own load on the servers, own quota usages and news of servers' limits. */
+        bool loadsAndUsages = false;
     };
 
     auto handleMessage(const fleet::GossipMessage &message) -> void;
