--- a/include/banyanring/fleet/request_limit.h
+++ b/include/banyanring/fleet/request_limit.h
@@ -96,8 +96,7 @@
     }
 
 private:
-    /** The interval of full gossip messages in a large fleet, and a half. */
-    static constexpr Duration NewsLifetime = std::chrono::milliseconds(1500);
+    static constexpr Duration NewsLifetime = std::chrono::seconds(1); ///< Several gossip rounds.
     static constexpr Instant LongAgo{std::numeric_limits<Instant::rep>::min() / 2};
 
     double limit = NoRequestLimit;
--- a/include/banyanring/gateway/peer_gossip.h
+++ b/include/banyanring/gateway/peer_gossip.h
@@ -42,8 +42,7 @@
         bool replyRequested = false;
         bool relayedStatuses = false; ///< Statuses of other nodes.
         bool slowlyChanging = false; ///< Server latencies and known crash suspects.
-        /** Own load on the servers, own quota usages and news of servers' limits. */
-        bool loadsAndUsages = false;
+        bool loadsAndUsages = false; ///< Own load on the servers and own quota usages.
     };
 
     auto handleMessage(const fleet::GossipMessage &message) -> void;
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -16,8 +16,7 @@
 constexpr std::uint64_t RoundsPerFullMessage = 5;
 /**
  * In a larger fleet statuses spread by relaying: every second round is skipped, and the others
- * relay statuses. Loads, usages and servers' limits are sent in full messages only, as coordinators
- * have newer ones.
+ * relay statuses. Loads and usages are sent in full messages only, as coordinators have newer ones.
  */
 constexpr std::size_t LargeFleetSize = 2 * FanOut;
 constexpr std::uint64_t LargeFleetRoundStride = 2;
@@ -117,6 +116,7 @@
     if (sections.slowlyChanging || this->state.crashSuspects.hasNews(now)) {
         message.crashSuspects = this->state.crashSuspects.reports(now);
     }
+    message.requestLimits = this->state.servers.requestLimitNews(now);
     if (sections.slowlyChanging) {
         message.latencies = this->latencyReports();
     }
@@ -124,7 +124,6 @@
         message.hasLoads = true;
         message.loads = this->ownLoads();
         message.usages = this->state.quotas.ownUsages(now);
-        message.requestLimits = this->state.servers.requestLimitNews(now);
     }
     return encodeGossip(message);
 }
--- a/tests/fleet/request_limit_fleet_tests.cpp
+++ b/tests/fleet/request_limit_fleet_tests.cpp
@@ -65,9 +65,6 @@
     static constexpr std::size_t MaxCandidates = 6; ///< More nodes are never down at once.
     static constexpr std::size_t FanOut = 10;
     static constexpr int GossipSteps = 10;
-    static constexpr int LargeFleetGossipSteps = 50; ///< Limits are in full messages only.
-    static constexpr std::size_t LargeFleetSize = 20;
-    static constexpr int HeldSlotsSteps = 10;
 
     struct Node
     {
@@ -318,10 +315,8 @@
                 this->submit();
             }
             this->advanceRuns();
-            if (step % (nodeCount > LargeFleetSize ? LargeFleetGossipSteps : GossipSteps) == 0) {
+            if (step % GossipSteps == 0) {
                 this->exchangeGossip();
-            }
-            if (step % HeldSlotsSteps == 0) {
                 this->reportHeldSlots();
             }
         }
