--- a/include/banyanring/adapters/backend_client.h
+++ b/include/banyanring/adapters/backend_client.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "banyanring/adapters/caller_listener.h"
-#include "banyanring/adapters/http_exchanger.h"
+#include "banyanring/adapters/http_client.h"
 
 #include <atomic>
 #include <mutex>
@@ -13,7 +13,7 @@
 
 /**
  * Sends dispatches to backend servers and forwards requests to peers. No function blocks:
- * dispatches run on the thread of the exchanger, and forwarded requests as tasks of the HTTP
+ * dispatches run on the thread of the HTTP client, and forwarded requests as tasks of the HTTP
  * library.
  */
 class BackendClient
@@ -68,9 +68,9 @@
     Duration stallTimeout;
     std::mutex mutex;
     std::unordered_map<DispatchId, InFlightPtr> dispatches;
-    std::size_t bufferedBytes = 0; ///< Of all dispatches; used by the exchanger's thread only.
+    std::size_t bufferedBytes = 0; ///< Of all dispatches; used by the HTTP client's thread only.
     std::atomic<bool> stopping = false;
-    HttpExchanger exchanger;
+    HttpClient httpClient;
     std::thread stallCheckThread;
 };
 
--- a/include/banyanring/adapters/http_exchanger.h
+++ b/include/banyanring/adapters/http_client.h
@@ -1,4 +1,4 @@
-/** @file http_exchanger.h HTTP requests to backend servers, each on a connection of its own. */
+/** @file http_client.h HTTP requests to backend servers, each on a connection of its own. */
 #pragma once
 
 #include "banyanring/core/ids_type.h"
@@ -16,10 +16,11 @@
 using HttpExchangePtr = std::shared_ptr<HttpExchange>;
 
 /**
- * Sends requests from a thread of its own, which also calls all handlers. It buffers no body and
- * bounds the memory of headers, so that a server that sends bytes without end takes no memory.
+ * Sends requests from a thread of its own, which also calls all handlers. Each connection is used
+ * once, so that no request is sent twice. Bodies are not buffered and headers are limited, so that
+ * a server that sends bytes without end does not take memory without end.
  */
-class HttpExchanger
+class HttpClient
 {
 public:
     /** A request with its body. */
@@ -28,19 +29,19 @@
     /** Receives the events of an exchange; the last one is onEnd or onFailed. */
     struct Handlers
     {
+        /** An exception ends the exchange, as in onBody; its text is the error. */
         std::function<void(int status, std::string contentType)> onHeader;
-        /** An exception ends the exchange; its text is the error. */
         std::function<void(std::string_view bytes)> onBody;
         std::function<void()> onEnd; ///< The response is complete.
         /** @param connected Whether the request may have reached the server. */
         std::function<void(bool connected, const std::string &error)> onFailed;
     };
 
-    HttpExchanger();
+    HttpClient();
     /** Ends all exchanges without further events. */
-    ~HttpExchanger();
-    HttpExchanger(const HttpExchanger &) = delete;
-    auto operator=(const HttpExchanger &) -> HttpExchanger & = delete;
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    auto operator=(const HttpClient &) -> HttpClient & = delete;
 
     /**
      * Sends a request.
@@ -60,6 +61,8 @@
     auto cancel(const HttpExchangePtr &exchange) -> void;
 
 private:
+    auto run() -> void;
+
     boost::asio::io_context context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> workGuard;
     std::set<HttpExchangePtr> openExchanges; ///< Used by the thread only.
--- a/include/banyanring/adapters/load_report_poller.h
+++ b/include/banyanring/adapters/load_report_poller.h
@@ -1,7 +1,7 @@
 /** @file load_report_poller.h Polls the load reports of backend servers. */
 #pragma once
 
-#include "banyanring/adapters/http_exchanger.h"
+#include "banyanring/adapters/http_client.h"
 #include "banyanring/core/config_type.h"
 #include "banyanring/ports/inbox.h"
 
@@ -44,7 +44,7 @@
     std::mutex mutex;
     std::vector<Target> targets;
     std::atomic<bool> stopping = false;
-    HttpExchanger exchanger;
+    HttpClient httpClient;
     std::thread thread;
 };
 
--- a/src/adapters/backend_client.cpp
+++ b/src/adapters/backend_client.cpp
@@ -93,7 +93,7 @@
     inFlight->cancelled = true;
     const std::scoped_lock lock(this->mutex);
     if (inFlight->exchange) {
-        this->exchanger.cancel(inFlight->exchange);
+        this->httpClient.cancel(inFlight->exchange);
     }
 }
 
@@ -113,7 +113,7 @@
     }
     const auto maxRunSeconds =
         std::chrono::duration_cast<std::chrono::seconds>(action.maxRunTime).count();
-    HttpExchanger::Request request;
+    HttpClient::Request request;
     request.method(http::verb::post);
     request.target(call->path);
     request.set("X-Banyan-Request-Id", action.requestId);
@@ -128,7 +128,7 @@
         return;
     }
     const std::scoped_lock lock(this->mutex);
-    inFlight->exchange = this->exchanger.send(
+    inFlight->exchange = this->httpClient.send(
         action.address, std::move(request), std::chrono::seconds(maxRunSeconds + 1),
         {[this, inFlight](int status, std::string contentType) {
              this->onHeader(inFlight, status, std::move(contentType));
@@ -139,7 +139,7 @@
              this->fail(inFlight, connected, error);
          }});
     if (inFlight->cancelled) {
-        this->exchanger.cancel(inFlight->exchange);
+        this->httpClient.cancel(inFlight->exchange);
     }
 }
 
--- a/src/adapters/http_exchanger.cpp
+++ b/src/adapters/http_client.cpp
@@ -1,6 +1,7 @@
-/** @file http_exchanger.cpp HTTP requests to backend servers, each on a connection of its own. */
-#include "banyanring/adapters/http_exchanger.h"
+/** @file http_client.cpp HTTP requests to backend servers, each on a connection of its own. */
+#include "banyanring/adapters/http_client.h"
 
+#include "banyanring/adapters/log_func.h"
 #include "banyanring/fleet/process_settings_type.h"
 
 #include <boost/asio/post.hpp>
@@ -43,7 +44,7 @@
 {
 public:
     HttpExchange(asio::io_context &context, std::set<HttpExchangePtr> &open,
-                 std::string requestBytes, HttpExchanger::Handlers handlers)
+                 std::string requestBytes, HttpClient::Handlers handlers)
         : open(open), requestBytes(std::move(requestBytes)), handlers(std::move(handlers)),
           resolver(context), timer(context),
           connection(std::make_shared<gateway::OutboundConnection>(context))
@@ -115,17 +116,15 @@
     auto onHeader(const gateway::ResponseHeader &header) -> void override
     {
         const auto contentType = header[http::field::content_type];
-        this->handlers.onHeader(static_cast<int>(header.result_int()),
-                                std::string(contentType.data(), contentType.size()));
+        this->callHandler([&] {
+            this->handlers.onHeader(static_cast<int>(header.result_int()),
+                                    std::string(contentType.data(), contentType.size()));
+        });
     }
 
     auto onBody(std::string data) -> void override
     {
-        try {
-            this->handlers.onBody(data);
-        } catch (const std::exception &error) {
-            this->end(error.what());
-        }
+        this->callHandler([&] { this->handlers.onBody(data); });
     }
 
     auto onEnd(bool /*reusable*/) -> void override
@@ -139,9 +138,19 @@
     }
 
 private:
+    /** Calls a handler; an exception ends the exchange. */
+    template <typename Handler> auto callHandler(const Handler &handler) -> void
+    {
+        try {
+            handler();
+        } catch (const std::exception &error) {
+            this->end(error.what());
+        }
+    }
+
     std::set<HttpExchangePtr> &open;
     std::string requestBytes;
-    HttpExchanger::Handlers handlers;
+    HttpClient::Handlers handlers;
     asio::ip::tcp::resolver resolver;
     asio::steady_timer timer;
     std::shared_ptr<gateway::OutboundConnection> connection;
@@ -149,12 +158,12 @@
     bool ended = false;
 };
 
-HttpExchanger::HttpExchanger() : workGuard(this->context.get_executor())
+HttpClient::HttpClient() : workGuard(this->context.get_executor())
 {
-    this->thread = std::thread([this] { this->context.run(); });
+    this->thread = std::thread([this] { this->run(); });
 }
 
-HttpExchanger::~HttpExchanger()
+HttpClient::~HttpClient()
 {
     this->context.stop();
     this->thread.join();
@@ -163,8 +172,19 @@
     }
 }
 
-auto HttpExchanger::send(const std::string &address, Request request, Duration timeout,
-                         Handlers handlers) -> HttpExchangePtr
+auto HttpClient::run() -> void
+{
+    while (!this->context.stopped()) {
+        try {
+            this->context.run();
+        } catch (const std::exception &error) {
+            logEvent("exchange_handler_failed", {{"error", error.what()}});
+        }
+    }
+}
+
+auto HttpClient::send(const std::string &address, Request request, Duration timeout,
+                      Handlers handlers) -> HttpExchangePtr
 {
     request.version(HttpVersion);
     request.set(http::field::host, address);
@@ -178,7 +198,7 @@
     return exchange;
 }
 
-auto HttpExchanger::cancel(const HttpExchangePtr &exchange) -> void
+auto HttpClient::cancel(const HttpExchangePtr &exchange) -> void
 {
     asio::post(this->context, [exchange] { exchange->end("cancelled"); });
 }
--- a/src/adapters/load_report_poller.cpp
+++ b/src/adapters/load_report_poller.cpp
@@ -75,7 +75,7 @@
 auto LoadReportPoller::poll(const Target &target) -> void
 {
     const auto requestedAt = bootClockNow();
-    HttpExchanger::Request request;
+    HttpClient::Request request;
     request.method(boost::beast::http::verb::get);
     request.target("/load");
     const auto text = std::make_shared<std::string>();
@@ -89,19 +89,19 @@
         }
         this->inbox.tryPush(Lane::Control, Event(report));
     };
-    this->exchanger.send(target.address, std::move(request), RequestTimeout,
-                         {[](int, const std::string &) {},
-                          [text](std::string_view bytes) {
-                              text->append(bytes);
-                              if (text->size() > MaxReportBytes) {
-                                  throw std::runtime_error("load report is too long");
-                              }
-                          },
-                          finish,
-                          [finish, text](bool, const std::string &) {
-                              text->clear();
-                              finish();
-                          }});
+    this->httpClient.send(target.address, std::move(request), RequestTimeout,
+                          {[](int, const std::string &) {},
+                           [text](std::string_view bytes) {
+                               text->append(bytes);
+                               if (text->size() > MaxReportBytes) {
+                                   throw std::runtime_error("load report is too long");
+                               }
+                           },
+                           finish,
+                           [finish, text](bool, const std::string &) {
+                               text->clear();
+                               finish();
+                           }});
 }
 
 } // namespace banyanring
