--- a/tests/fleet/crash_suspect_fleet_tests.cpp
+++ b/tests/fleet/crash_suspect_fleet_tests.cpp
@@ -24,28 +24,28 @@
     CPPUNIT_TEST(promptPart_crashesServersOf350Nodes_isBlockedInTime);
     CPPUNIT_TEST(promptPart_crashesServersOf350NodesRarely_isBlockedInTime);
     CPPUNIT_TEST(promptPart_soundInHerdOfCrashes_isServed);
-    CPPUNIT_TEST(promptPart_rareBesideFrequentDeadlyPart_isServed);
+    CPPUNIT_TEST(promptPart_rareBesideFrequentCrashingPart_isServed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     auto promptPart_crashesServersOf87Nodes_isBlockedInTime() -> void
     {
         for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-            this->runDeadlyPart(87, 5, seed);
+            this->runCrashingPart(87, 5, seed);
         }
     }
 
     auto promptPart_crashesServersOf350Nodes_isBlockedInTime() -> void
     {
         for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-            this->runDeadlyPart(350, 20, seed);
+            this->runCrashingPart(350, 20, seed);
         }
     }
 
     auto promptPart_crashesServersOf350NodesRarely_isBlockedInTime() -> void
     {
         for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-            this->runDeadlyPart(350, 1, seed);
+            this->runCrashingPart(350, 1, seed);
         }
     }
 
@@ -65,25 +65,25 @@
         }
     }
 
-    auto promptPart_rareBesideFrequentDeadlyPart_isServed() -> void
+    auto promptPart_rareBesideFrequentCrashingPart_isServed() -> void
     {
         this->soundCount = 1;
         this->soundInterval = 13; // 1.5 requests a second.
-        this->maxRejectedPercent = 50; // The users' rule LOST.
+        this->maxRejectedPercent = 50; // Target: more than half are served.
         for (const std::size_t nodeCount : {7, 87, 350}) {
             for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-                this->runDeadlyPart(nodeCount, 20, seed);
+                this->runCrashingPart(nodeCount, 20, seed);
             }
         }
     }
 
 private:
     static constexpr std::uint64_t SoundPart = 1;
-    static constexpr std::uint64_t DeadlyPart = 2;
+    static constexpr std::uint64_t CrashingPart = 2;
     static constexpr Duration Step = milliseconds(50);
     static constexpr Duration StableWindow = seconds(4); ///< Of the largest bench deployments.
     static constexpr Duration RunTime = milliseconds(300); ///< Until the first event or the crash.
-    static constexpr int MaxLateRequests = 3; ///< Requests that may still run; users' rule BUDGET.
+    static constexpr int MaxLateRequests = 3; ///< Target: requests that may still run.
     static constexpr int LossPercent = 10;
     static constexpr int OtherRuns = 10; ///< Sound requests that run at a server when it crashes.
     static constexpr std::size_t MaxBytesPerSecond = 5000; ///< Target: control traffic of a node.
@@ -174,11 +174,12 @@
                                sent <= MaxBytesPerSecond || this->nodes.size() < MinFleetForTarget);
     }
 
-    /** Runs a deadly part at the given rate for 20 s, and checks how many requests run too late. */
-    auto runDeadlyPart(std::size_t nodeCount, std::uint32_t perSecond, std::uint64_t seed) -> void
+    /** Runs a crashing part at the given rate for 20 s, and checks how many requests run too late.
+     */
+    auto runCrashingPart(std::size_t nodeCount, std::uint32_t perSecond, std::uint64_t seed) -> void
     {
         this->start(nodeCount, seed);
-        std::deque<FleetRun> deadlyRuns;
+        std::deque<FleetRun> crashingRuns;
         std::vector<Instant> restartedAt(nodeCount);
         int crashes = 0;
         int lateRequests = 0;
@@ -192,24 +193,24 @@
             }
             const auto node = this->anyNode();
             if (this->random() % 20 < perSecond
-                && !this->nodes[node].isBlocked(DeadlyPart, this->now)) {
-                deadlyRuns.push_back({node, this->now});
+                && !this->nodes[node].isBlocked(CrashingPart, this->now)) {
+                crashingRuns.push_back({node, this->now});
                 const bool isInTouch = this->now - restartedAt[node] > StableWindow;
                 if (isInTouch && fifthCrashAt != Never && this->now - fifthCrashAt > StableWindow) {
                     ++lateRequests;
                 }
             }
-            while (!deadlyRuns.empty() && this->now - deadlyRuns.front().startedAt >= RunTime) {
-                const auto &run = deadlyRuns.front();
+            while (!crashingRuns.empty() && this->now - crashingRuns.front().startedAt >= RunTime) {
+                const auto &run = crashingRuns.front();
                 const auto server = this->nextServer++;
-                this->nodes[run.node].recordCrash(DeadlyPart, server, run.startedAt, this->now);
+                this->nodes[run.node].recordCrash(CrashingPart, server, run.startedAt, this->now);
                 this->nodes[run.node].recordCrash(SoundPart, server, run.startedAt, this->now);
                 this->loseRun(SoundPart, server);
                 for (int other = 0; other < OtherRuns; ++other) {
                     this->loseRun(this->nextOtherPart++, server);
                 }
                 fifthCrashAt = ++crashes == 5 ? this->now : fifthCrashAt;
-                deadlyRuns.pop_front();
+                crashingRuns.pop_front();
             }
             this->runSound(step % this->soundInterval == 0 ? this->soundCount : 0);
             this->exchangeGossip(step);
--- a/tests/fleet/crash_suspect_tests.cpp
+++ b/tests/fleet/crash_suspect_tests.cpp
@@ -176,9 +176,9 @@
 public:
     auto promptPart_crashedThreeServers_isRejectedInEachRequest() -> void
     {
-        this->crashServers({SharedPart, DeadlyPart});
+        this->crashServers({SharedPart, CrashingPart});
         const auto sent = this->servers.dispatches.size();
-        const auto caller = this->submit(this->prompt("/clause/", {DeadlyPart}));
+        const auto caller = this->submit(this->prompt("/clause/", {CrashingPart}));
         CPPUNIT_ASSERT_EQUAL(503, caller->response.status);
         CPPUNIT_ASSERT_EQUAL(std::string("5.00"), caller->header("Retry-After"));
         CPPUNIT_ASSERT_EQUAL(sent, this->servers.dispatches.size());
@@ -189,7 +189,7 @@
     auto promptPart_answeredBetweenCrashes_isNotRejected() -> void
     {
         for (std::size_t round = 0; round < CrashSuspects::BlockingCrashes; ++round) {
-            this->crash({SharedPart, DeadlyPart});
+            this->crash({SharedPart, CrashingPart});
             this->submit(this->prompt("/draft/", {SharedPart}));
             this->stream(this->lastDispatch(), 1, 2);
             this->lastDispatch().observer->onResponseEnd();
@@ -197,17 +197,17 @@
         const auto sent = this->servers.dispatches.size();
         this->submit(this->prompt("/draft/", {SharedPart}));
         CPPUNIT_ASSERT_EQUAL(sent + 1, this->servers.dispatches.size());
-        this->submit(this->prompt("/draft/", {SharedPart, DeadlyPart}));
+        this->submit(this->prompt("/draft/", {SharedPart, CrashingPart}));
         CPPUNIT_ASSERT_EQUAL(sent + 1, this->servers.dispatches.size());
     }
 
     auto promptPart_blockedWhileQueued_isNotDispatched() -> void
     {
-        this->crash({DeadlyPart});
-        this->crash({DeadlyPart});
+        this->crash({CrashingPart});
+        this->crash({CrashingPart});
         std::vector<std::shared_ptr<FakeCaller>> callers;
         for (int count = 0; count < 6; ++count) {
-            callers.push_back(this->submit(this->prompt("/draft/", {DeadlyPart})));
+            callers.push_back(this->submit(this->prompt("/draft/", {CrashingPart})));
         }
         this->now += milliseconds(300);
         const auto sent = this->servers.dispatches.size();
@@ -234,7 +234,7 @@
     auto promptPart_unframedStreamsCutInsideEvent_isRejected() -> void
     {
         for (std::size_t count = 0; count < CrashSuspects::BlockingCrashes; ++count) {
-            this->submit(this->prompt("/draft/", {DeadlyPart}));
+            this->submit(this->prompt("/draft/", {CrashingPart}));
             this->now += milliseconds(300);
             this->lastDispatch().observer->onResponseHeader(header(200));
             this->lastDispatch().observer->onResponseData("id: 1\nda");
@@ -242,14 +242,14 @@
             this->restartServers();
         }
         const auto sent = this->servers.dispatches.size();
-        const auto caller = this->submit(this->prompt("/draft/", {DeadlyPart}));
+        const auto caller = this->submit(this->prompt("/draft/", {CrashingPart}));
         CPPUNIT_ASSERT_EQUAL(503, caller->response.status);
         CPPUNIT_ASSERT_EQUAL(sent, this->servers.dispatches.size());
     }
 
 private:
     static constexpr std::uint64_t SharedPart = 1;
-    static constexpr std::uint64_t DeadlyPart = 2;
+    static constexpr std::uint64_t CrashingPart = 2;
     static constexpr std::uint64_t OtherPart = 3;
 
     auto prompt(const std::string &path, std::vector<std::uint64_t> parts) -> CallerRequest
--- a/tests/fleet/request_limit_fleet_tests.cpp
+++ b/tests/fleet/request_limit_fleet_tests.cpp
@@ -46,9 +46,9 @@
 
 private:
     static constexpr Duration Step = milliseconds(20);
-    static constexpr Duration Window = seconds(4); ///< Of the users' rule LIMIT.
-    static constexpr double Overshoot = 1.5; ///< Of the users' rule LIMIT.
-    static constexpr double Slack = 5; ///< Requests, of the users' rule LIMIT.
+    static constexpr Duration Window = seconds(4); ///< Of the target for a limit.
+    static constexpr double Overshoot = 1.5; ///< Of the target for a limit.
+    static constexpr double Slack = 5; ///< Requests, of the target for a limit.
     static constexpr Duration StableWindow = seconds(3); ///< Of the small bench deployments.
     static constexpr Duration NamedFrom = seconds(5);
     static constexpr Duration NamedUntil = seconds(35);
