Server latencies: adopting a peer's reports takes time per report only

Now each report is looked up by the server's hash.

The registry numbers its sets of servers, for those who keep what follows from them.

--- a/include/banyanring/fleet/server_registry.h
+++ b/include/banyanring/fleet/server_registry.h
@@ -255,6 +255,12 @@
      */
     auto findByHash(std::uint32_t hash) const -> ServerPtr;
 
+    /** @return Another number whenever a server was added, restarted or removed. */
+    auto generation() const -> std::uint64_t
+    {
+        return this->generationNumber;
+    }
+
     /** @return All servers by id. */
     auto all() const -> const std::map<std::string, ServerPtr, std::less<>> &
     {
@@ -276,6 +282,7 @@
     std::map<std::string, RemovedServer, std::less<>> removedServers; ///< For a limited time.
     std::map<std::string, std::vector<ServerPtr>, std::less<>> byService;
     std::unordered_map<std::uint32_t, ServerPtr> byHash;
+    std::uint64_t generationNumber = 0;
 };
 
 } // namespace banyanring::fleet
--- a/src/fleet/server_registry.cpp
+++ b/src/fleet/server_registry.cpp
@@ -266,21 +266,17 @@
 
 auto ServerRegistry::adoptPeerLatencies(const std::vector<ServerLatencyReport> &reports) -> void
 {
-    for (const auto &[id, server] : this->servers) {
-        auto &own = server->stats;
-        if (own.firstByteFit.hasSamples() && own.outputMsPerToken > 0) {
+    for (const auto &report : reports) {
+        const auto server = this->byHash.find(report.serverHash);
+        if (server == this->byHash.end()) {
             continue;
         }
-        for (const auto &report : reports) {
-            if (report.serverHash != server->hash) {
-                continue;
-            }
-            if (!own.firstByteFit.hasSamples() && report.promptMsPerToken > 0) {
-                own.firstByteFit.seed(report.firstByteMs, report.promptMsPerToken);
-            }
-            if (own.outputMsPerToken == 0) {
-                own.outputMsPerToken = report.outputMsPerToken;
-            }
+        auto &own = server->second->stats;
+        if (!own.firstByteFit.hasSamples() && report.promptMsPerToken > 0) {
+            own.firstByteFit.seed(report.firstByteMs, report.promptMsPerToken);
+        }
+        if (own.outputMsPerToken == 0) {
+            own.outputMsPerToken = report.outputMsPerToken;
         }
     }
 }
@@ -336,6 +332,7 @@
 
 auto ServerRegistry::rebuildIndex() -> void
 {
+    ++this->generationNumber;
     this->byService.clear();
     this->byHash.clear();
     for (const auto &[id, server] : this->servers) {
