--- a/include/banyanring/fleet/fleet_members.h
+++ b/include/banyanring/fleet/fleet_members.h
@@ -6,7 +6,9 @@
 #include <map>
 #include <random>
 #include <set>
+#include <span>
 #include <string_view>
+#include <unordered_map>
 
 namespace banyanring::fleet {
 
@@ -15,9 +17,20 @@
 {
     NodeStatus status; ///< Newest known status.
     Instant issuedAt{}; ///< When the status was issued, by this node's clock.
+    std::uint32_t addressHash = 0; ///< hashName of its peer address.
 };
 
-/** Tracks the other nodes by peer address. */
+/** A node that may coordinate something. */
+struct CoordinatorCandidate
+{
+    std::uint32_t addressHash = 0; ///< hashName of its peer address.
+    std::string_view address; ///< Peer address.
+};
+
+/**
+ * Tracks the other nodes by peer address. Which of them are alive is looked up many times between
+ * two changes, so the result is kept until a node joins, leaves or changes its phase.
+ */
 class FleetMembers
 {
 public:
@@ -25,8 +38,13 @@
      * @param self Peer address of this node.
      * @param seeds Peer addresses of the nodes to contact first; may be out of date.
      * @param now Start of the process.
+     * @param domain Failure domain of this node.
      */
-    FleetMembers(std::string self, std::vector<std::string> seeds, Instant now);
+    FleetMembers(std::string self, std::vector<std::string> seeds, Instant now,
+                 std::string domain = {});
+    ~FleetMembers() = default;
+    FleetMembers(const FleetMembers &) = delete; // What is kept points into this object.
+    auto operator=(const FleetMembers &) -> FleetMembers & = delete;
 
     /**
      * Merges the status of a node; the most recently issued one wins.
@@ -36,6 +54,14 @@
      */
     auto mergeStatus(const NodeStatus &status, Instant now) -> bool;
 
+    /**
+     * Merges a heartbeat of a node.
+     * @param heartbeat The heartbeat.
+     * @param now Current time.
+     * @return Whether its status is unknown here or has changed, and should be requested.
+     */
+    auto mergeHeartbeat(const MemberHeartbeat &heartbeat, Instant now) -> bool;
+
     /**
      * Replaces the seeds after a change of the settings.
      * @param newSeeds Peer addresses.
@@ -46,19 +72,33 @@
     }
 
     /**
-     * Checks whether the status of a node is recent.
+     * Checks whether the status of a node is recent. In a larger fleet it takes longer until a
+     * status has reached all nodes.
      * @param member The node.
      * @param now Current time.
      * @return Whether the node is considered alive.
      */
-    static auto isAlive(const Member &member, Instant now) -> bool;
+    auto isAlive(const Member &member, Instant now) const -> bool
+    {
+        return now - member.issuedAt < this->aliveTimeout();
+    }
+
+    /** @return Age of a status from which on its node counts as lost. */
+    auto aliveTimeout() const -> Duration;
 
     /**
      * Lists the nodes that are considered alive, without this one.
      * @param now Current time.
-     * @return The nodes.
+     * @return The nodes; valid until the next change of this object.
+     */
+    auto aliveMembers(Instant now) const -> std::span<const Member *const>;
+
+    /**
+     * Numbers the sets of nodes that are alive.
+     * @param now Current time.
+     * @return Another number whenever a node joined, was lost, restarted or changed its phase.
      */
-    auto aliveMembers(Instant now) const -> std::vector<const Member *>;
+    auto generation(Instant now) const -> std::uint64_t;
 
     /**
      * Draws a random sample of the nodes that are considered alive.
@@ -70,6 +110,19 @@
     auto sampleAlive(std::size_t maxCount, std::mt19937_64 &random, Instant now) const
         -> std::vector<const Member *>;
 
+    /**
+     * Draws a random sample of the nodes that are considered alive, most of them in the failure
+     * domain of this node, as messages to other domains are slower and cost more.
+     * @param maxCount Maximum number of nodes.
+     * @param distantCount How many of them are in other domains, if there are as many; more are
+     *                     taken if the own domain has too few.
+     * @param random Random engine.
+     * @param now Current time.
+     * @return The nodes; all of them if there are at most maxCount.
+     */
+    auto sampleNearby(std::size_t maxCount, std::size_t distantCount, std::mt19937_64 &random,
+                      Instant now) const -> std::vector<const Member *>;
+
     /**
      * Lists the incarnations of the nodes that are considered alive, without this one.
      * @param now Current time.
@@ -129,15 +182,16 @@
         -> std::vector<std::string>;
 
     /**
-     * Chooses the targets of one gossip round. Every 500 ms these include the seeds and known nodes
-     * that are not alive.
-     * @param fanOut Maximum number of nodes that are alive.
+     * Chooses the targets of one gossip round. Every 500 ms these include the seeds and some known
+     * nodes that are not alive.
+     * @param fanOut Maximum number of nodes that are alive, and of those that are not.
+     * @param distantCount How many of the first are in other domains, if there are as many.
      * @param random Random engine.
      * @param now Current time.
      * @return Peer addresses of the targets.
      */
-    auto gossipTargets(std::size_t fanOut, std::mt19937_64 &random, Instant now)
-        -> std::vector<std::string>;
+    auto gossipTargets(std::size_t fanOut, std::size_t distantCount, std::mt19937_64 &random,
+                       Instant now) -> std::vector<std::string>;
 
     /**
      * Draws a random sample of the statuses of other nodes, to be relayed.
@@ -149,6 +203,33 @@
     auto sampleStatuses(std::size_t maxCount, std::mt19937_64 &random, Instant now) const
         -> std::vector<NodeStatus>;
 
+    /**
+     * Selects heartbeats to be relayed. Half of them are the newest, which reach all nodes fast;
+     * the others are drawn at random, so that no node is left out for long.
+     * @param maxCount Maximum number of heartbeats.
+     * @param random Random engine.
+     * @param now Current time.
+     * @return Heartbeats of nodes that are alive.
+     */
+    auto selectHeartbeats(std::size_t maxCount, std::mt19937_64 &random, Instant now) const
+        -> std::vector<MemberHeartbeat>;
+
+    /**
+     * Finds the statuses of other nodes.
+     * @param addressHashes hashName of their peer addresses.
+     * @param now Current time.
+     * @return Statuses with their ages, of those that were heard of recently.
+     */
+    auto findStatuses(std::span<const std::uint32_t> addressHashes, Instant now) const
+        -> std::vector<NodeStatus>;
+
+    /**
+     * Lists nodes that count as lost soon, as their heartbeats may have missed this node by chance.
+     * @param now Current time.
+     * @return hashName of their peer addresses.
+     */
+    auto doubtfulMembers(Instant now) const -> std::vector<std::uint32_t>;
+
     /**
      * Removes nodes that were not heard of within the retention time.
      * @param now Current time.
@@ -162,11 +243,37 @@
     }
 
 private:
+    /** What follows from the members at one time, until it is out of date. */
+    struct View
+    {
+        std::vector<const Member *> alive; ///< Nodes that are considered alive.
+        std::vector<CoordinatorCandidate> candidates; ///< This node and those that are ready.
+        Instant computedAt{};
+        Instant validUntil{}; ///< The first of the nodes might count as lost from then on.
+        bool outdated = true; ///< A node changed since.
+        std::uint64_t generation = 0;
+    };
+
+    auto view(Instant now) const -> const View &;
+    auto isDoubtful(const Member &member, Instant now) const -> bool
+    {
+        return now - member.issuedAt > this->aliveTimeout() / 2;
+    }
+    static auto statusOf(const Member &member, Instant now) -> NodeStatus;
+    auto invalidateView() -> void
+    {
+        this->currentView.outdated = true;
+        this->currentView.validUntil = Instant(0);
+    }
+
     std::string self;
+    std::string domain;
     std::vector<std::string> seeds;
     Instant startedAt;
     Instant nextSeedAt{};
     std::map<std::string, Member> members;
+    std::unordered_map<std::uint32_t, Member *> membersByHash;
+    mutable View currentView;
 };
 
 } // namespace banyanring::fleet
--- a/include/banyanring/fleet/peer_state_type.h
+++ b/include/banyanring/fleet/peer_state_type.h
@@ -42,6 +42,26 @@
     }
 };
 
+/**
+ * Sign of life of a node that another one relays; much shorter than a status, which it repeats
+ * except for the store revision and the configuration's version.
+ */
+struct MemberHeartbeat
+{
+    std::uint32_t addressHash = 0; ///< hashName of the node's peer address.
+    std::uint16_t stamp = 0; ///< statusStamp() of its status.
+    std::uint16_t sequence = 0; ///< Lowest bits of the status's sequence.
+    Duration age{}; ///< Time since the status was issued, summed over the hops.
+};
+
+/**
+ * Hashes what a heartbeat repeats of a status.
+ * @param status The status.
+ * @return Another value, with high probability, if its incarnation, phase or access to the store
+ *         differs.
+ */
+auto statusStamp(const NodeStatus &status) -> std::uint16_t;
+
 /** A node's own load on a backend server. */
 struct ServerLoadReport
 {
@@ -124,6 +144,9 @@
 {
     NodeStatus sender; ///< Status of the sender; its age is zero.
     std::vector<NodeStatus> relayedStatuses; ///< Sample of other nodes; not always sent.
+    std::vector<MemberHeartbeat> heartbeats; ///< Sample of other nodes; not always sent.
+    /** The sender relays heartbeats; nodes of earlier releases rely on relayed statuses. */
+    bool relaysHeartbeats = false;
     bool hasLoads = false; ///< The loads are complete; otherwise they are left out of this message.
     std::vector<ServerLoadReport> loads; ///< Load that the sender puts on servers.
     std::vector<ServerLatencyReport> latencies; ///< As measured by the sender; not always sent.
--- a/include/banyanring/gateway/gossip_codec.h
+++ b/include/banyanring/gateway/gossip_codec.h
@@ -24,6 +24,21 @@
  */
 auto decodeGossip(std::string_view bytes) -> std::optional<fleet::GossipMessage>;
 
+/**
+ * Encodes a request for the statuses of nodes.
+ * @param addressHashes hashName of their peer addresses.
+ * @return The encoded request.
+ */
+auto encodeStatusRequest(const std::vector<std::uint32_t> &addressHashes) -> std::string;
+
+/**
+ * Decodes a request for the statuses of nodes.
+ * @param bytes Received bytes.
+ * @return hashName of their peer addresses; nullopt if the bytes are malformed or of another wire
+ *         version.
+ */
+auto decodeStatusRequest(std::string_view bytes) -> std::optional<std::vector<std::uint32_t>>;
+
 /**
  * Encodes a usage report to a coordinator of an organisation.
  * @param report The report.
--- a/include/banyanring/gateway/peer_gossip.h
+++ b/include/banyanring/gateway/peer_gossip.h
@@ -41,12 +41,22 @@
         /** Requests a message in return; set while no other node is alive. */
         bool replyRequested = false;
         bool relayedStatuses = false; ///< Statuses of other nodes.
+        bool heartbeats = false; ///< Heartbeats of other nodes.
         bool slowlyChanging = false; ///< Server latencies and known crash suspects.
         bool loadsAndUsages = false; ///< Own load on the servers and own quota usages.
+        bool complete = false; ///< For a node that has just started: all that would go in turns.
     };
 
     auto handleMessage(const fleet::GossipMessage &message) -> void;
-    auto sendToPeers(std::size_t fanOut, const Sections &sections) -> void;
+    auto mergeStatus(const fleet::NodeStatus &status, bool direct, Instant now) -> void;
+    auto requestStatuses(const std::string &peer, std::vector<std::uint32_t> addressHashes,
+                         Instant now) -> void;
+    auto verifyDoubtfulMembers(Instant now) -> void;
+    auto sendStatuses(const std::string &peer, std::span<const std::uint32_t> addressHashes)
+        -> void;
+    auto sendToPeers(std::size_t fanOut, std::size_t distantFanOut, const Sections &sections)
+        -> void;
+    auto beginMessage() -> fleet::GossipMessage;
     auto compose(const Sections &sections) -> std::string;
     auto ownLoads() const -> std::vector<fleet::ServerLoadReport>;
     auto latencyReports() const -> std::vector<fleet::ServerLatencyReport>;
@@ -57,7 +67,14 @@
     std::mt19937_64 random;
     std::uint64_t sequence = 0;
     std::uint64_t rounds = 0;
+    std::size_t latenciesSent = 0; ///< Reports sent so far; the next ones follow in turn.
+    std::size_t usagesSent = 0; ///< The same of usages.
+    /** Last message of a node that relays no heartbeats. */
+    std::optional<Instant> olderReleaseHeardAt;
+    std::unordered_map<std::uint32_t, Instant> statusRequestedAt; ///< By hash of the address.
     std::map<std::string, std::vector<fleet::ServerLoadReport>> peerLoads; ///< By peer address.
+    bool loadsChanged = false; ///< Since they were last applied.
+    std::uint64_t appliedGeneration = 0; ///< Generation of the members when they were applied.
 };
 
 } // namespace banyanring::gateway
--- a/include/banyanring/gateway/peer_socket.h
+++ b/include/banyanring/gateway/peer_socket.h
@@ -15,6 +15,7 @@
 /** Type of a datagram; its first byte. */
 enum class PeerMessageType : std::uint8_t {
     Gossip = 'g', ///< Status of a node, its loads and usages.
+    StatusRequest = 's', ///< Request for the statuses of nodes, answered by gossip.
     StoreChanges = 'b', ///< Changes of the store.
     UsageReport = 'r', ///< An organisation's usage at one node, possibly with a query.
     UsageReply = 't', ///< Usage total of the other nodes, as the reply to a query.
@@ -25,6 +26,13 @@
     FreeSlots = 'm', ///< Free slots of a coordinator.
 };
 
+/**
+ * Returns the name of a message type for logs and metrics.
+ * @param type The message type.
+ * @return Name in snake case.
+ */
+auto messageTypeName(PeerMessageType type) -> std::string_view;
+
 /**
  * Sends and receives datagrams without acknowledgement. The messages are idempotent: a later one
  * repeats or supersedes the content of a lost one.
@@ -32,11 +40,18 @@
 class PeerSocket
 {
 public:
+    /** Messages sent, of one type or of all. */
+    struct SentMessages
+    {
+        std::uint64_t count = 0; ///< Datagrams.
+        std::uint64_t bytes = 0; ///< Without the headers of UDP and IP.
+    };
+
     /** Counters for the metrics. */
     struct TrafficCounters
     {
-        std::uint64_t sent = 0; ///< Datagrams.
-        std::uint64_t sentBytes = 0;
+        SentMessages sent; ///< Messages of all types.
+        std::map<PeerMessageType, SentMessages> sentByType;
         std::uint64_t received = 0; ///< Datagrams.
         std::uint64_t malformed = 0; ///< Datagrams of unknown type or that failed to decode.
     };
--- a/include/banyanring/gateway/quota_coordination.h
+++ b/include/banyanring/gateway/quota_coordination.h
@@ -39,6 +39,7 @@
         bool hasUnreported = false; ///< Usage has changed since the last report.
         double pendingUnits = 0; ///< Units of the queries that await a reply.
         std::vector<std::string> coordinators; ///< Peer addresses of the nodes last reported to.
+        std::uint64_t checkedGeneration = 0; ///< Generation of the members they were checked for.
     };
 
     /** A usage query that awaits its reply. */
--- a/include/banyanring/gateway/slot_coordination.h
+++ b/include/banyanring/gateway/slot_coordination.h
@@ -97,6 +97,8 @@
     fleet::SlotAllocator allocator;
     std::map<std::uint64_t, PendingRequest> pendingRequests; ///< By request id.
     std::map<std::uint32_t, std::string> coordinators; ///< By server hash.
+    /** Generations of the members and servers that the coordinators were assigned for. */
+    std::pair<std::uint64_t, std::uint64_t> assignedFor{};
     std::map<std::uint32_t, std::string> serviceNames; ///< By hash of the name.
     /** By service and coordinator. */
     std::map<std::pair<std::uint32_t, std::string>, FreeSlotReport> freeSlotReports;
--- a/include/banyanring/gateway/store_mirror_sync.h
+++ b/include/banyanring/gateway/store_mirror_sync.h
@@ -62,7 +62,8 @@
     auto storeCallbacks() -> platform::StoreReader::Callbacks;
     auto handleStoreChanges(const std::vector<std::string> &keys) -> void;
     auto handleBatch(std::string_view body) -> bool;
-    auto sendToSample(std::string_view bytes, std::size_t fanOut) -> void;
+    auto sendToSample(std::string_view bytes, std::size_t fanOut, std::size_t distantFanOut)
+        -> void;
     auto beginNewEra(std::string_view source, Instant now) -> bool;
     auto progress() const -> fleet::MirrorCatchUp::Progress;
     auto updateReachability(Instant now) -> void;
--- a/src/fleet/fleet_members.cpp
+++ b/src/fleet/fleet_members.cpp
@@ -2,6 +2,7 @@
 #include "banyanring/fleet/fleet_members.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace banyanring::fleet {
 
@@ -15,6 +16,11 @@
  * crashed node.
  */
 constexpr Duration AliveTimeout = milliseconds(2000);
+constexpr std::size_t AliveTimeoutNodes = 100; ///< Number of nodes up to which it suffices.
+/** Covers the slowest of the heartbeats in simulated fleets of 150 to 350 nodes. */
+constexpr Duration AliveTimeoutPerNode = milliseconds(10);
+/** The directory may list a crashed node for six seconds. */
+constexpr Duration MaxAliveTimeout = milliseconds(4000);
 /** Longer than a typical partition, so that each side keeps to its own fraction of the limits. */
 constexpr Duration RetentionTime = seconds(30);
 /**
@@ -25,16 +31,29 @@
 /** Interval of the messages to seeds and nodes that are not alive. */
 constexpr Duration SeedInterval = milliseconds(500);
 
-/** @return Rank of a node for a key by rendezvous hashing; the highest ranked nodes are chosen. */
-auto rankOf(std::uint32_t key, std::string_view address) -> std::uint64_t
+/**
+ * @param key Hash of what is assigned.
+ * @param addressHash hashName of the node's peer address.
+ * @return Rank of a node for a key by rendezvous hashing; the highest ranked nodes are chosen.
+ */
+auto rankOf(std::uint32_t key, std::uint32_t addressHash) -> std::uint64_t
 {
-    return mix64((static_cast<std::uint64_t>(key) << 32U) ^ hashName(address));
+    return mix64((static_cast<std::uint64_t>(key) << 32U) ^ addressHash);
 }
 
 } // namespace
 
-FleetMembers::FleetMembers(std::string self, std::vector<std::string> seeds, Instant now)
-    : self(std::move(self)), seeds(std::move(seeds)), startedAt(now)
+auto statusStamp(const NodeStatus &status) -> std::uint16_t
+{
+    const auto access = (status.watchesStore ? 1ULL : 0ULL) | (status.storeReachable ? 2ULL : 0ULL);
+    const auto phase = static_cast<std::uint64_t>(status.phase);
+    return static_cast<std::uint16_t>(
+        mix64(mix64(status.incarnation) ^ (status.storeEra << 8U) ^ (phase << 2U) ^ access));
+}
+
+FleetMembers::FleetMembers(std::string self, std::vector<std::string> seeds, Instant now,
+                           std::string domain)
+    : self(std::move(self)), domain(std::move(domain)), seeds(std::move(seeds)), startedAt(now)
 {
 }
 
@@ -45,36 +64,101 @@
     }
     const auto issuedAt = now - status.age;
     auto &member = this->members[status.peerAddress];
-    const bool wasAlive = member.status.incarnation != 0 && isAlive(member, now);
+    this->membersByHash[hashName(status.peerAddress)] = &member;
+    const bool wasAlive = member.status.incarnation != 0 && this->isAlive(member, now);
     const bool sameIncarnation = member.status.incarnation == status.incarnation;
     if (sameIncarnation ? status.sequence <= member.status.sequence : issuedAt <= member.issuedAt) {
         return false;
     }
+    const bool samePhase = member.status.phase == status.phase;
     member.status = status;
+    member.addressHash = hashName(status.peerAddress);
     member.issuedAt = sameIncarnation ? std::max(member.issuedAt, issuedAt) : issuedAt;
-    return !wasAlive && isAlive(member, now);
+    const bool alive = this->isAlive(member, now);
+    if (alive != wasAlive || !sameIncarnation || !samePhase) {
+        this->invalidateView();
+    }
+    return !wasAlive && alive;
+}
+
+auto FleetMembers::mergeHeartbeat(const MemberHeartbeat &heartbeat, Instant now) -> bool
+{
+    if (heartbeat.addressHash == hashName(this->self) || heartbeat.age >= this->aliveTimeout()) {
+        return false;
+    }
+    const auto found = this->membersByHash.find(heartbeat.addressHash);
+    if (found == this->membersByHash.end()) {
+        return true;
+    }
+    auto &member = *found->second;
+    const auto issuedAt = now - heartbeat.age;
+    if (heartbeat.stamp != statusStamp(member.status)) {
+        return issuedAt > member.issuedAt;
+    }
+    const auto newer = static_cast<std::int16_t>(
+        heartbeat.sequence - static_cast<std::uint16_t>(member.status.sequence));
+    if (newer <= 0) {
+        return false; // Received late, perhaps because this process was suspended.
+    }
+    const bool wasAlive = this->isAlive(member, now);
+    member.status.sequence += static_cast<std::uint64_t>(newer);
+    member.issuedAt = std::max(member.issuedAt, issuedAt);
+    if (!wasAlive) {
+        this->invalidateView();
+    }
+    return false;
 }
 
-auto FleetMembers::isAlive(const Member &member, Instant now) -> bool
+auto FleetMembers::aliveTimeout() const -> Duration
 {
-    return now - member.issuedAt < AliveTimeout;
+    const auto nodes = this->members.size() + 1;
+    const auto additional =
+        AliveTimeoutPerNode * static_cast<std::int64_t>(nodes - std::min(nodes, AliveTimeoutNodes));
+    return std::min<Duration>(MaxAliveTimeout, AliveTimeout + additional);
 }
 
-auto FleetMembers::aliveMembers(Instant now) const -> std::vector<const Member *>
+auto FleetMembers::view(Instant now) const -> const View &
 {
-    std::vector<const Member *> result;
+    auto &view = this->currentView;
+    if (now >= view.computedAt && now < view.validUntil) {
+        return view;
+    }
+    const auto previouslyAlive = std::exchange(view.alive, {});
+    view.alive.reserve(this->members.size());
+    view.computedAt = now;
+    view.validUntil = Never;
+    view.candidates.assign(1, {hashName(this->self), this->self});
     for (const auto &[address, member] : this->members) {
-        if (isAlive(member, now)) {
-            result.push_back(&member);
+        if (!this->isAlive(member, now)) {
+            continue;
+        }
+        view.alive.push_back(&member);
+        view.validUntil = std::min(view.validUntil, member.issuedAt + this->aliveTimeout());
+        if (member.status.phase == NodePhase::Ready) {
+            view.candidates.push_back({member.addressHash, address});
         }
     }
-    return result;
+    if (std::exchange(view.outdated, false) || view.alive != previouslyAlive) {
+        ++view.generation;
+    }
+    return view;
+}
+
+auto FleetMembers::aliveMembers(Instant now) const -> std::span<const Member *const>
+{
+    return this->view(now).alive;
+}
+
+auto FleetMembers::generation(Instant now) const -> std::uint64_t
+{
+    return this->view(now).generation;
 }
 
 auto FleetMembers::sampleAlive(std::size_t maxCount, std::mt19937_64 &random, Instant now) const
     -> std::vector<const Member *>
 {
-    auto sampled = this->aliveMembers(now);
+    const auto alive = this->aliveMembers(now);
+    std::vector<const Member *> sampled(alive.begin(), alive.end());
     if (sampled.size() > maxCount) {
         std::shuffle(sampled.begin(), sampled.end(), random);
         sampled.resize(maxCount);
@@ -82,6 +166,27 @@
     return sampled;
 }
 
+auto FleetMembers::sampleNearby(std::size_t maxCount, std::size_t distantCount,
+                                std::mt19937_64 &random, Instant now) const
+    -> std::vector<const Member *>
+{
+    const auto alive = this->aliveMembers(now);
+    std::vector<const Member *> sampled(alive.begin(), alive.end());
+    if (sampled.size() <= maxCount) {
+        return sampled;
+    }
+    std::shuffle(sampled.begin(), sampled.end(), random);
+    const auto distant =
+        std::partition(sampled.begin(), sampled.end(), [this](const Member *member) {
+            return member->status.domain == this->domain;
+        });
+    const auto nearCount = std::min(static_cast<std::size_t>(distant - sampled.begin()),
+                                    maxCount - std::min(maxCount, distantCount));
+    sampled.erase(sampled.begin() + static_cast<std::ptrdiff_t>(nearCount), distant);
+    sampled.resize(std::min(maxCount, sampled.size()));
+    return sampled;
+}
+
 auto FleetMembers::aliveIncarnations(Instant now) const -> std::set<std::uint64_t>
 {
     std::set<std::uint64_t> result;
@@ -110,10 +215,10 @@
     if (now - this->startedAt < StartupTime) {
         return false;
     }
-    const auto ownRank = rankOf(serverHash, this->self);
+    const auto ownRank = rankOf(serverHash, hashName(this->self));
     std::size_t higherRanked = 0;
     for (const auto &[address, member] : this->members) {
-        higherRanked += rankOf(serverHash, address) > ownRank ? 1 : 0;
+        higherRanked += rankOf(serverHash, member.addressHash) > ownRank ? 1 : 0;
     }
     return higherRanked < senders;
 }
@@ -122,28 +227,31 @@
     -> std::vector<std::string>
 {
     using Ranked = std::pair<std::uint64_t, std::string_view>;
-    std::vector<Ranked> candidates{{rankOf(key, this->self), this->self}};
-    for (const auto &[address, member] : this->members) {
-        if (member.status.phase == NodePhase::Ready && isAlive(member, now)) {
-            candidates.emplace_back(rankOf(key, address), address);
+    std::vector<Ranked> chosen; // Sorted; few are chosen of many.
+    for (const auto &candidate : this->view(now).candidates) {
+        const Ranked ranked(rankOf(key, candidate.addressHash), candidate.address);
+        if (chosen.size() == count && (count == 0 || ranked < chosen.back())) {
+            continue;
+        }
+        if (chosen.size() == count) {
+            chosen.pop_back();
         }
+        chosen.insert(std::upper_bound(chosen.begin(), chosen.end(), ranked, std::greater<>()),
+                      ranked);
     }
-    const auto chosenCount = std::min(count, candidates.size());
-    std::partial_sort(candidates.begin(),
-                      candidates.begin() + static_cast<std::ptrdiff_t>(chosenCount),
-                      candidates.end(), std::greater<>());
     std::vector<std::string> coordinators;
-    for (std::size_t position = 0; position < chosenCount; ++position) {
-        coordinators.emplace_back(candidates[position].second);
+    coordinators.reserve(chosen.size());
+    for (const auto &[rank, address] : chosen) {
+        coordinators.emplace_back(address);
     }
     return coordinators;
 }
 
-auto FleetMembers::gossipTargets(std::size_t fanOut, std::mt19937_64 &random, Instant now)
-    -> std::vector<std::string>
+auto FleetMembers::gossipTargets(std::size_t fanOut, std::size_t distantCount,
+                                 std::mt19937_64 &random, Instant now) -> std::vector<std::string>
 {
     std::vector<std::string> targets;
-    for (const auto *member : this->sampleAlive(fanOut, random, now)) {
+    for (const auto *member : this->sampleNearby(fanOut, distantCount, random, now)) {
         targets.push_back(member->status.peerAddress);
     }
     if (now < this->nextSeedAt) {
@@ -152,16 +260,21 @@
     this->nextSeedAt = now + SeedInterval;
     // Nodes that are not alive are tried as well: after a partition there may be no other path to
     // them.
-    std::set<std::string> unresponsive(this->seeds.begin(), this->seeds.end());
+    std::vector<std::string> unresponsive;
+    std::set<std::string> seedsToTry(this->seeds.begin(), this->seeds.end());
+    seedsToTry.erase(this->self);
     for (const auto &[address, member] : this->members) {
-        if (!isAlive(member, now)) {
-            unresponsive.insert(address);
-        } else {
-            unresponsive.erase(address);
+        if (this->isAlive(member, now)) {
+            seedsToTry.erase(address);
+        } else if (!seedsToTry.contains(address)) {
+            unresponsive.push_back(address);
         }
     }
-    unresponsive.erase(this->self);
+    // After the loss of a failure domain these may be many.
+    std::shuffle(unresponsive.begin(), unresponsive.end(), random);
+    unresponsive.resize(std::min(unresponsive.size(), fanOut));
     targets.insert(targets.end(), unresponsive.begin(), unresponsive.end());
+    targets.insert(targets.end(), seedsToTry.begin(), seedsToTry.end());
     return targets;
 }
 
@@ -170,16 +283,78 @@
 {
     std::vector<NodeStatus> statuses;
     for (const auto *member : this->sampleAlive(maxCount, random, now)) {
-        statuses.push_back(member->status);
-        statuses.back().age = now - member->issuedAt;
+        statuses.push_back(statusOf(*member, now));
     }
     return statuses;
 }
 
+auto FleetMembers::statusOf(const Member &member, Instant now) -> NodeStatus
+{
+    auto status = member.status;
+    status.age = now - member.issuedAt;
+    return status;
+}
+
+auto FleetMembers::selectHeartbeats(std::size_t maxCount, std::mt19937_64 &random,
+                                    Instant now) const -> std::vector<MemberHeartbeat>
+{
+    const auto alive = this->aliveMembers(now);
+    std::vector<const Member *> selected(alive.begin(), alive.end());
+    if (selected.size() > maxCount) {
+        const auto newestEnd = selected.begin() + static_cast<std::ptrdiff_t>(maxCount / 2);
+        std::nth_element(selected.begin(), newestEnd, selected.end(),
+                         [](const Member *first, const Member *second) {
+                             return first->issuedAt > second->issuedAt;
+                         });
+        std::shuffle(newestEnd, selected.end(), random);
+        selected.resize(maxCount);
+    }
+    std::vector<MemberHeartbeat> heartbeats;
+    heartbeats.reserve(selected.size());
+    for (const auto *member : selected) {
+        heartbeats.push_back({member->addressHash, statusStamp(member->status),
+                              static_cast<std::uint16_t>(member->status.sequence),
+                              now - member->issuedAt});
+    }
+    return heartbeats;
+}
+
+auto FleetMembers::findStatuses(std::span<const std::uint32_t> addressHashes, Instant now) const
+    -> std::vector<NodeStatus>
+{
+    std::vector<NodeStatus> statuses;
+    for (const auto hash : addressHashes) {
+        const auto found = this->membersByHash.find(hash);
+        if (found != this->membersByHash.end() && !this->isDoubtful(*found->second, now)) {
+            statuses.push_back(statusOf(*found->second, now));
+        }
+    }
+    return statuses;
+}
+
+auto FleetMembers::doubtfulMembers(Instant now) const -> std::vector<std::uint32_t>
+{
+    std::vector<std::uint32_t> hashes;
+    for (const auto *member : this->aliveMembers(now)) {
+        if (this->isDoubtful(*member, now)) {
+            hashes.push_back(member->addressHash);
+        }
+    }
+    return hashes;
+}
+
 auto FleetMembers::expire(Instant now) -> void
 {
-    std::erase_if(this->members,
-                  [now](const auto &entry) { return now - entry.second.issuedAt > RetentionTime; });
+    const auto removed = std::erase_if(this->members, [this, now](const auto &entry) {
+        if (now - entry.second.issuedAt <= RetentionTime) {
+            return false;
+        }
+        this->membersByHash.erase(entry.second.addressHash);
+        return true;
+    });
+    if (removed > 0) {
+        this->invalidateView();
+    }
 }
 
 } // namespace banyanring::fleet
--- a/src/fleet/mirror_catch_up.cpp
+++ b/src/fleet/mirror_catch_up.cpp
@@ -153,10 +153,14 @@
     const bool isDue = !own.isLoaded
                        || (lacksEra ? now >= this->eraFetchAt
                                     : now - *this->staleSince > StaleTimeout + CatchUpTimeout);
-    auto peers = isDue ? members.aliveMembers(now) : Peers();
-    std::erase_if(peers, [&](const Member *member) {
+    Peers peers;
+    if (!isDue) {
+        return peers;
+    }
+    const auto alive = members.aliveMembers(now);
+    std::copy_if(alive.begin(), alive.end(), std::back_inserter(peers), [&](const Member *member) {
         const auto position = member->status.storePosition();
-        return lacksEra ? position.era < this->target.era : position < this->target;
+        return lacksEra ? position.era >= this->target.era : position >= this->target;
     });
     return peers;
 }
@@ -164,9 +168,10 @@
 auto MirrorCatchUp::peersWithNewerConfig(const Progress &own, const FleetMembers &members,
                                          Instant now) const -> Peers
 {
-    auto peers = members.aliveMembers(now);
-    std::erase_if(peers, [&](const Member *member) {
-        return member->status.configVersion <= own.configVersion;
+    Peers peers;
+    const auto alive = members.aliveMembers(now);
+    std::copy_if(alive.begin(), alive.end(), std::back_inserter(peers), [&](const Member *member) {
+        return member->status.configVersion > own.configVersion;
     });
     return peers;
 }
--- a/src/fleet/store_watch_election.cpp
+++ b/src/fleet/store_watch_election.cpp
@@ -36,15 +36,17 @@
 auto StoreWatchElection::countDomainPeers(const FleetMembers &members, std::uint64_t ownEra,
                                           Instant now) const -> DomainPeers
 {
-    const auto rank = [](std::string_view address) { return mix64(hashName(address)); };
-    const auto ownRank = rank(this->self);
+    const auto ownRank = mix64(hashName(this->self));
     DomainPeers others;
     std::set<std::string_view> domains{this->domain};
     for (const auto *member : members.aliveMembers(now)) {
         const auto &status = member->status;
-        domains.insert(status.domain);
-        if (status.domain != this->domain || status.phase == NodePhase::Draining
-            || rank(status.peerAddress) < ownRank) {
+        const bool sameDomain = status.domain == this->domain;
+        if (!sameDomain && domains.size() < SingleWatcherDomains) {
+            domains.insert(status.domain);
+        }
+        if (!sameDomain || status.phase == NodePhase::Draining
+            || mix64(member->addressHash) < ownRank) {
             continue;
         }
         ++others.higherRanked;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -21,6 +21,7 @@
 /** Half of a server's connections may be idle; the rest is for running requests and probes. */
 constexpr std::size_t IdleConnectionsDivisor = 2;
 constexpr std::uint64_t SettingsIntervalTicks = 40; ///< Ticks between checks of the settings file.
+constexpr std::uint64_t TrafficLogTicks = 600; ///< Ticks between lines about the peer traffic.
 /** Bounds the time for which a caller uses a stale address. */
 constexpr Duration DirectoryTtl = milliseconds(1000);
 /** Delay after the stop signal; callers have resolved the addresses again by then. */
@@ -43,8 +44,8 @@
 Gateway::Gateway(fleet::ProcessSettings initialSettings,
                  std::function<fleet::ProcessSettings()> reload)
     : settings(std::move(initialSettings)), reload(std::move(reload)),
-      incarnation(nonZeroRandomNumber()), state(this->settings, bootClockNow()),
-      serverConnectionPool(this->context),
+      incarnation(nonZeroRandomNumber()), startedAt(bootClockNow()),
+      state(this->settings, this->startedAt), serverConnectionPool(this->context),
       scheduler(this->state, this->serverConnectionPool, bootClockNow, nonZeroRandomNumber()),
       peerSocket(this->context, this->settings.peers),
       gossip(this->peerSocket, this->state, [this] { return this->ownStatus(); }),
@@ -92,9 +93,25 @@
     this->gossip.sendRound();
     this->scheduleTick();
     this->context.run();
+    this->logPeerTraffic();
     logEvent("stopped");
 }
 
+auto Gateway::logPeerTraffic() const -> void
+{
+    const auto &traffic = this->peerSocket.traffic();
+    std::vector<std::string> bytesByType;
+    for (const auto &[type, sent] : traffic.sentByType) {
+        bytesByType.push_back(std::string(messageTypeName(type)) + " "
+                              + std::to_string(sent.bytes));
+    }
+    logEvent("peer_traffic",
+             {{"up_s", std::int64_t{(bootClockNow() - this->startedAt) / std::chrono::seconds(1)}},
+              {"messages", static_cast<std::int64_t>(traffic.sent.count)},
+              {"bytes", static_cast<std::int64_t>(traffic.sent.bytes)},
+              {"bytes_by_type", std::move(bytesByType)}});
+}
+
 auto Gateway::callerHandler() -> HttpHandler
 {
     HttpHandler handler;
@@ -228,6 +245,9 @@
     if (this->ticks % SettingsIntervalTicks == 0) {
         this->reloadSettings(false);
     }
+    if (this->ticks % TrafficLogTicks == 0) {
+        this->logPeerTraffic();
+    }
     if (this->stopRequestedAt) {
         this->continueStop(now);
     }
@@ -253,8 +273,25 @@
     this->state.quotas.setAlivePeers(this->state.members.aliveIncarnations(now),
                                      this->gossip.propagationDelay(now));
     this->state.members.expire(now);
+    this->logLostMembers(now);
+    const auto reachableFraction = this->state.members.reachableFraction(now);
+    if (reachableFraction != this->lastReachableFraction) {
+        logEvent("limits_part",
+                 {{"part", reachableFraction},
+                  {"part_before", this->lastReachableFraction},
+                  {"fleet_size", static_cast<std::int64_t>(this->state.members.fleetSize(now))}});
+        this->lastReachableFraction = reachableFraction;
+    }
+}
+
+auto Gateway::logLostMembers(Instant now) -> void
+{
+    const auto generation = this->state.members.generation(now);
+    if (std::exchange(this->checkedGeneration, generation) == generation) {
+        return;
+    }
     for (const auto &[address, member] : this->state.members.all()) {
-        const bool alive = fleet::FleetMembers::isAlive(member, now);
+        const bool alive = this->state.members.isAlive(member, now);
         if (this->wasAlive[address] && !alive) {
             logEvent(
                 "member_lost",
@@ -265,14 +302,6 @@
         }
         this->wasAlive[address] = alive;
     }
-    const auto reachableFraction = this->state.members.reachableFraction(now);
-    if (reachableFraction != this->lastReachableFraction) {
-        logEvent("limits_part",
-                 {{"part", reachableFraction},
-                  {"part_before", this->lastReachableFraction},
-                  {"fleet_size", static_cast<std::int64_t>(this->state.members.fleetSize(now))}});
-        this->lastReachableFraction = reachableFraction;
-    }
 }
 
 auto Gateway::updateIdleConnectionLimits(Instant now) -> void
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -39,6 +39,8 @@
     auto scheduleTick() -> void;
     auto tick() -> void;
     auto periodicChecks(Instant now) -> void;
+    auto logLostMembers(Instant now) -> void;
+    auto logPeerTraffic() const -> void;
     auto updateIdleConnectionLimits(Instant now) -> void;
     auto awaitSignals() -> void;
     auto reloadSettings(bool requested) -> void;
@@ -52,6 +54,7 @@
     std::function<fleet::ProcessSettings()> reload;
     boost::asio::io_context context{1};
     std::uint64_t incarnation;
+    Instant startedAt;
     NodeState state;
     ServerConnectionPool serverConnectionPool;
     Scheduler scheduler;
@@ -74,6 +77,7 @@
     bool requestsEnded = false; ///< The grace period is over and the open requests were ended.
     double lastReachableFraction = 0; ///< Reachable fraction of the fleet, to log its changes.
     std::map<std::string, bool> wasAlive; ///< By member address, to log lost members.
+    std::uint64_t checkedGeneration = 0; ///< Generation of the members when this was last done.
 };
 
 } // namespace banyanring::gateway
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -29,7 +29,7 @@
         members.push_back({{"address", address},
                            {"domain", member.status.domain},
                            {"phase", static_cast<int>(member.status.phase)},
-                           {"alive", fleet::FleetMembers::isAlive(member, now)},
+                           {"alive", this->state.members.isAlive(member, now)},
                            {"age_ms", toMs(now - member.issuedAt)},
                            {"config", member.status.configVersion},
                            {"store_era", member.status.storeEra},
@@ -112,8 +112,8 @@
     gauge("store_era", this->ownStatus().storeEra);
     gauge("store_revision", this->ownStatus().storeRevision);
     gauge("store_calls", this->mirrorSync.storeCalls());
-    gauge("gossip_sent", this->peerSocket.traffic().sent);
-    gauge("gossip_sent_bytes", this->peerSocket.traffic().sentBytes);
+    gauge("gossip_sent", this->peerSocket.traffic().sent.count);
+    gauge("gossip_sent_bytes", this->peerSocket.traffic().sent.bytes);
     gauge("gossip_received", this->peerSocket.traffic().received);
     gauge("gossip_garbage", this->peerSocket.traffic().malformed);
     gauge("asks_waiting", this->slotCoordination.waitingRequests());
@@ -130,6 +130,11 @@
           std::count_if(this->state.servers.all().begin(), this->state.servers.all().end(),
                         [](const auto &item) { return item.second->leaving; }));
     gauge("idle_server_connections", this->serverConnectionPool.idleCount());
+    text << "# TYPE banyanring_peer_sent_bytes gauge\n";
+    for (const auto &[type, sent] : this->peerSocket.traffic().sentByType) {
+        text << "banyanring_peer_sent_bytes{type=\"" << messageTypeName(type) << "\"} "
+             << sent.bytes << '\n';
+    }
     text << "# TYPE banyanring_server_requests gauge\n";
     for (const auto &[id, server] : this->state.servers.all()) {
         text << "banyanring_server_requests{server=\"" << id << "\",service=\""
--- a/src/gateway/gossip_codec.cpp
+++ b/src/gateway/gossip_codec.cpp
@@ -4,6 +4,8 @@
 #include "msgpack_func.h"
 #include "request_limit_codec_func.h"
 
+#include <span>
+
 namespace banyanring::gateway {
 
 namespace {
@@ -11,6 +13,9 @@
 using std::chrono::milliseconds;
 
 constexpr std::int64_t NoAnswer = -1; ///< Sent for a suspect that was not answered recently.
+constexpr std::size_t HeartbeatBytes = 9; ///< Hash, stamp, sequence and age, little-endian.
+constexpr Duration HeartbeatAgeUnit = milliseconds(20); ///< Ages up to 5.1 s fit into a byte.
+constexpr std::int64_t MaxHeartbeatAge = 255; ///< In units.
 
 using StatusTuple =
     std::tuple<std::string, std::string, std::string, std::uint64_t, std::uint64_t, std::uint8_t,
@@ -23,9 +28,11 @@
 /** Suspect, servers, age of the last answer, ages of the crashes, run times; times in ms. */
 using SuspectTuple = std::tuple<std::uint64_t, std::vector<std::uint32_t>, std::int64_t,
                                 std::vector<std::uint32_t>, std::vector<std::uint32_t>>;
-using GossipTuple = std::tuple<int, StatusTuple, std::vector<StatusTuple>, std::vector<LoadTuple>,
-                               std::vector<UsageTuple>, std::vector<SuspectTuple>, bool,
-                               std::vector<LatencyTuple>, bool, std::vector<RequestLimitTuple>>;
+using GossipTuple =
+    std::tuple<int, StatusTuple, std::vector<StatusTuple>, std::vector<LoadTuple>,
+               std::vector<UsageTuple>, std::vector<SuspectTuple>, bool, std::vector<LatencyTuple>,
+               bool, std::vector<RequestLimitTuple>, bool, std::string>;
+using StatusRequestTuple = std::tuple<int, std::vector<std::uint32_t>>;
 using ItemTuple = std::tuple<std::string, std::string, std::uint64_t, std::uint64_t>;
 using ChangeTuple = std::tuple<std::string, std::string, std::uint64_t, bool>;
 using ChangeBatchTuple =
@@ -56,6 +63,63 @@
     return status;
 }
 
+/** Appends the lowest bytes of a number, the least significant first. */
+auto appendBytes(std::string &bytes, std::uint64_t value, int count) -> void
+{
+    for (int index = 0; index < count; ++index) {
+        bytes.push_back(static_cast<char>((value >> (8 * index)) & 0xffU));
+    }
+}
+
+/** @return The number in the first bytes, which are removed. */
+auto takeBytes(std::string_view &bytes, std::size_t count) -> std::uint64_t
+{
+    std::uint64_t value = 0;
+    for (std::size_t index = 0; index < count; ++index) {
+        value |= static_cast<std::uint64_t>(static_cast<unsigned char>(bytes[index]))
+                 << (8 * index);
+    }
+    bytes.remove_prefix(count);
+    return value;
+}
+
+/**
+ * Packs heartbeats densely, as they are most of what a node sends in a large fleet. Ages are
+ * rounded up, so that no relaying node makes a heartbeat younger.
+ */
+auto packHeartbeats(std::span<const fleet::MemberHeartbeat> heartbeats) -> std::string
+{
+    std::string bytes;
+    bytes.reserve(heartbeats.size() * HeartbeatBytes);
+    for (const auto &heartbeat : heartbeats) {
+        const auto age = (heartbeat.age + HeartbeatAgeUnit - Duration(1)) / HeartbeatAgeUnit;
+        if (age > MaxHeartbeatAge) {
+            continue;
+        }
+        appendBytes(bytes, heartbeat.addressHash, 4);
+        appendBytes(bytes, heartbeat.stamp, 2);
+        appendBytes(bytes, heartbeat.sequence, 2);
+        appendBytes(bytes, static_cast<std::uint64_t>(std::max<std::int64_t>(0, age)), 1);
+    }
+    return bytes;
+}
+
+/** @return The packed heartbeats; an incomplete one at the end is left out. */
+auto unpackHeartbeats(std::string_view bytes) -> std::vector<fleet::MemberHeartbeat>
+{
+    std::vector<fleet::MemberHeartbeat> heartbeats;
+    heartbeats.reserve(bytes.size() / HeartbeatBytes);
+    while (bytes.size() >= HeartbeatBytes) {
+        fleet::MemberHeartbeat heartbeat;
+        heartbeat.addressHash = static_cast<std::uint32_t>(takeBytes(bytes, 4));
+        heartbeat.stamp = static_cast<std::uint16_t>(takeBytes(bytes, 2));
+        heartbeat.sequence = static_cast<std::uint16_t>(takeBytes(bytes, 2));
+        heartbeat.age = HeartbeatAgeUnit * static_cast<std::int64_t>(takeBytes(bytes, 1));
+        heartbeats.push_back(heartbeat);
+    }
+    return heartbeats;
+}
+
 /** @return The usage of a received tuple. */
 auto fromTuple(const UsageTuple &tuple) -> fleet::OrganisationUsage
 {
@@ -142,6 +206,8 @@
     for (const auto &limit : message.requestLimits) {
         std::get<9>(tuple).push_back(toTuple(limit));
     }
+    std::get<10>(tuple) = message.relaysHeartbeats;
+    std::get<11>(tuple) = packHeartbeats(message.heartbeats);
     return packMessage(tuple);
 }
 
@@ -172,9 +238,22 @@
     message.replyRequested = std::get<6>(*tuple);
     message.hasLoads = std::get<8>(*tuple);
     message.requestLimits = fromTuples(std::get<9>(*tuple));
+    message.relaysHeartbeats = std::get<10>(*tuple);
+    message.heartbeats = unpackHeartbeats(std::get<11>(*tuple));
     return message;
 }
 
+auto encodeStatusRequest(const std::vector<std::uint32_t> &addressHashes) -> std::string
+{
+    return packMessage(StatusRequestTuple{WireVersion, addressHashes});
+}
+
+auto decodeStatusRequest(std::string_view bytes) -> std::optional<std::vector<std::uint32_t>>
+{
+    auto tuple = unpackMessage<StatusRequestTuple>(bytes);
+    return tuple ? std::optional(std::move(std::get<1>(*tuple))) : std::nullopt;
+}
+
 auto encodeUsageReport(const fleet::UsageReport &report) -> std::string
 {
     return packMessage(
--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -6,25 +6,59 @@
 #include "banyanring/ports/clock_func.h"
 #include "request_limit_log.h"
 
+#include <algorithm>
+
 namespace banyanring::gateway {
 
 namespace {
 
-/** Covers a whole small fleet and bounds the traffic of a large one. */
+/** Covers a whole small fleet and bounds the traffic of a larger one. */
 constexpr std::size_t FanOut = 10;
 /** Rounds between messages that contain all sections. */
 constexpr std::uint64_t RoundsPerFullMessage = 5;
 /**
- * In a larger fleet statuses spread by relaying: every second round is skipped, and the others
- * relay statuses. Loads and usages are sent in full messages only, as coordinators have newer ones.
+ * In a larger fleet nodes relay heartbeats: every second round is skipped, and the others reach few
+ * nodes. Loads and usages are sent in full messages only, as coordinators have newer ones.
  */
-constexpr std::size_t LargeFleetSize = 2 * FanOut;
+constexpr std::size_t LargeFleetSize = 20;
 constexpr std::uint64_t LargeFleetRoundStride = 2;
+constexpr std::size_t LargeFleetFanOut = 3;
+/** Nodes of other domains among these; heartbeats spread within the domains meanwhile. */
+constexpr std::size_t LargeFleetDistantFanOut = 1;
+constexpr std::uint64_t StartupRounds = 30; ///< A node that has just started skips none of these.
+/** Together with the fan-out, refreshes 350 nodes within their timeout. */
+constexpr std::size_t MaxHeartbeats = 64;
 /** A draining phase has to reach all nodes within a second. */
-constexpr std::size_t AnnounceFanOut = 3 * FanOut;
+constexpr std::size_t AnnounceFanOut = 30;
 constexpr int ToleratedLostRounds = 4; ///< Lost or late rounds that propagationDelay() allows for.
-/** A sample suffices, since a status reaches all nodes within a few rounds. */
+/** A sample suffices for a node that has just started: it requests the others by their heartbeats.
+ */
 constexpr std::size_t MaxRelayedStatuses = 8;
+constexpr std::size_t MaxRequestedStatuses = 64; ///< Limits the size of a message.
+/** Covers the round trip to a distant node, and the time of its tick. */
+constexpr Duration StatusRequestInterval = std::chrono::milliseconds(200);
+/** A node of an earlier release is heard within this time in fleets of the usual sizes. */
+constexpr Duration OlderReleaseMemory = std::chrono::seconds(10);
+constexpr std::size_t MaxLatencyReports = 16; ///< Per message; the others follow in turn.
+constexpr std::size_t MaxUsageReports = 64; ///< Likewise.
+
+/**
+ * Selects the next items of a list in turn.
+ * @param items The list; reduced to the selected items.
+ * @param maxCount Maximum number of items.
+ * @param sent Number of items selected so far, in all turns.
+ */
+template <typename Item>
+auto selectInTurn(std::vector<Item> &items, std::size_t maxCount, std::size_t &sent) -> void
+{
+    if (items.size() <= maxCount) {
+        return;
+    }
+    std::rotate(items.begin(), items.begin() + static_cast<std::ptrdiff_t>(sent % items.size()),
+                items.end());
+    items.resize(maxCount);
+    sent += maxCount;
+}
 
 } // namespace
 
@@ -36,32 +70,50 @@
                              [this](const fleet::GossipMessage &message, const std::string &) {
                                  this->handleMessage(message);
                              });
+    socket.setDecodedHandler(
+        PeerMessageType::StatusRequest, decodeStatusRequest,
+        [this](const std::vector<std::uint32_t> &addressHashes, const std::string &from) {
+            this->sendStatuses(from, addressHashes);
+        });
+}
+
+auto PeerGossip::mergeStatus(const fleet::NodeStatus &status, bool direct, Instant now) -> void
+{
+    const auto member = this->state.members.all().find(status.peerAddress);
+    const auto previousPhase = member == this->state.members.all().end()
+                                   ? fleet::NodePhase::Starting
+                                   : member->second.status.phase;
+    if (this->state.members.mergeStatus(status, now)) {
+        logEvent("member_joined",
+                 {{"member", status.peerAddress},
+                  {"direct", direct},
+                  {"age_ms", static_cast<std::int64_t>(status.age.count() / 1000)}});
+    } else if (status.phase == fleet::NodePhase::Draining
+               && previousPhase == fleet::NodePhase::Ready) {
+        logEvent("member_draining", {{"member", status.peerAddress}});
+    }
 }
 
 auto PeerGossip::handleMessage(const fleet::GossipMessage &message) -> void
 {
     const auto now = bootClockNow();
-    const auto mergeStatus = [this, now](const fleet::NodeStatus &status, bool direct) {
-        const auto member = this->state.members.all().find(status.peerAddress);
-        const auto previousPhase = member == this->state.members.all().end()
-                                       ? fleet::NodePhase::Starting
-                                       : member->second.status.phase;
-        if (this->state.members.mergeStatus(status, now)) {
-            logEvent("member_joined",
-                     {{"member", status.peerAddress},
-                      {"direct", direct},
-                      {"age_ms", static_cast<std::int64_t>(status.age.count() / 1000)}});
-        } else if (status.phase == fleet::NodePhase::Draining
-                   && previousPhase == fleet::NodePhase::Ready) {
-            logEvent("member_draining", {{"member", status.peerAddress}});
-        }
-    };
-    mergeStatus(message.sender, true);
+    this->mergeStatus(message.sender, true, now);
     for (const auto &relayed : message.relayedStatuses) {
-        mergeStatus(relayed, false);
+        this->mergeStatus(relayed, false, now);
+    }
+    std::vector<std::uint32_t> unknownStatuses;
+    for (const auto &heartbeat : message.heartbeats) {
+        if (this->state.members.mergeHeartbeat(heartbeat, now)) {
+            unknownStatuses.push_back(heartbeat.addressHash);
+        }
+    }
+    this->requestStatuses(message.sender.peerAddress, std::move(unknownStatuses), now);
+    if (!message.relaysHeartbeats) {
+        this->olderReleaseHeardAt = now;
     }
     if (message.hasLoads) {
         this->peerLoads[message.sender.peerAddress] = message.loads;
+        this->loadsChanged = true;
     }
     this->state.servers.adoptPeerLatencies(message.latencies);
     this->state.quotas.mergePeerUsage(message.sender.incarnation, message.usages, now);
@@ -69,17 +121,54 @@
     mergeRequestLimits(this->state.servers, message.requestLimits, message.sender.peerAddress, now);
     if (message.replyRequested) {
         this->socket.send(message.sender.peerAddress, PeerMessageType::Gossip,
-                          this->compose({false, true, true, true}));
+                          this->compose({.relayedStatuses = true,
+                                         .heartbeats = true,
+                                         .slowlyChanging = true,
+                                         .loadsAndUsages = true,
+                                         .complete = true}));
+    }
+}
+
+auto PeerGossip::requestStatuses(const std::string &peer, std::vector<std::uint32_t> addressHashes,
+                                 Instant now) -> void
+{
+    std::erase_if(this->statusRequestedAt, [now](const auto &request) {
+        return now - request.second >= StatusRequestInterval;
+    });
+    std::erase_if(addressHashes, [this](std::uint32_t addressHash) {
+        return this->statusRequestedAt.contains(addressHash);
+    });
+    if (addressHashes.empty()) {
+        return;
     }
+    addressHashes.resize(std::min(addressHashes.size(), MaxRequestedStatuses));
+    for (const auto addressHash : addressHashes) {
+        this->statusRequestedAt[addressHash] = now;
+    }
+    this->socket.send(peer, PeerMessageType::StatusRequest, encodeStatusRequest(addressHashes));
+}
+
+auto PeerGossip::sendStatuses(const std::string &peer, std::span<const std::uint32_t> addressHashes)
+    -> void
+{
+    auto message = this->beginMessage();
+    message.relayedStatuses = this->state.members.findStatuses(
+        addressHashes.first(std::min(addressHashes.size(), MaxRequestedStatuses)), bootClockNow());
+    this->socket.send(peer, PeerMessageType::Gossip, encodeGossip(message));
 }
 
 auto PeerGossip::applyPeerLoads(Instant now) -> void
 {
+    const auto generation = this->state.members.generation(now);
+    const bool membersChanged = std::exchange(this->appliedGeneration, generation) != generation;
+    if (!std::exchange(this->loadsChanged, false) && !membersChanged) {
+        return;
+    }
     std::unordered_map<std::uint32_t, fleet::ServerLoad> sums;
     for (auto peer = this->peerLoads.begin(); peer != this->peerLoads.end();) {
         const auto member = this->state.members.all().find(peer->first);
         if (member == this->state.members.all().end()
-            || !fleet::FleetMembers::isAlive(member->second, now)) {
+            || !this->state.members.isAlive(member->second, now)) {
             peer = this->peerLoads.erase(peer);
             continue;
         }
@@ -96,23 +185,35 @@
 auto PeerGossip::propagationDelay(Instant now) const -> Duration
 {
     const auto aliveCount = this->state.members.aliveMembers(now).size();
-    const auto roundsBetween =
-        aliveCount > LargeFleetSize ? LargeFleetRoundStride * RoundsPerFullMessage : 1;
+    const bool largeFleet = aliveCount > LargeFleetSize;
+    const auto roundsBetween = largeFleet ? LargeFleetRoundStride * RoundsPerFullMessage : 1;
     return ToleratedLostRounds * RoundInterval
-           + RoundInterval * static_cast<std::int64_t>(roundsBetween * aliveCount / FanOut);
+           + RoundInterval
+                 * static_cast<std::int64_t>(roundsBetween * aliveCount
+                                             / (largeFleet ? LargeFleetFanOut : FanOut));
 }
 
-auto PeerGossip::compose(const Sections &sections) -> std::string
+auto PeerGossip::beginMessage() -> fleet::GossipMessage
 {
-    const auto now = bootClockNow();
     fleet::GossipMessage message;
     message.sender = this->ownStatus();
     message.sender.sequence = ++this->sequence;
+    message.relaysHeartbeats = true;
+    return message;
+}
+
+auto PeerGossip::compose(const Sections &sections) -> std::string
+{
+    const auto now = bootClockNow();
+    auto message = this->beginMessage();
     message.replyRequested = sections.replyRequested;
     if (sections.relayedStatuses) {
         message.relayedStatuses =
             this->state.members.sampleStatuses(MaxRelayedStatuses, this->random, now);
     }
+    if (sections.heartbeats) {
+        message.heartbeats = this->state.members.selectHeartbeats(MaxHeartbeats, this->random, now);
+    }
     if (sections.slowlyChanging || this->state.crashSuspects.hasNews(now)) {
         message.crashSuspects = this->state.crashSuspects.reports(now);
     }
@@ -125,6 +226,10 @@
         message.loads = this->ownLoads();
         message.usages = this->state.quotas.ownUsages(now);
     }
+    if (!sections.complete) {
+        selectInTurn(message.latencies, MaxLatencyReports, this->latenciesSent);
+        selectInTurn(message.usages, MaxUsageReports, this->usagesSent);
+    }
     return encodeGossip(message);
 }
 
@@ -162,24 +267,47 @@
     const auto aliveCount = this->state.members.aliveMembers(now).size();
     const bool alone = aliveCount == 0;
     const bool largeFleet = aliveCount > LargeFleetSize;
-    if (largeFleet && round % LargeFleetRoundStride != 0) {
+    if (largeFleet && round >= StartupRounds && round % LargeFleetRoundStride != 0) {
         return;
     }
+    this->verifyDoubtfulMembers(now);
     const auto fullMessageStride =
         largeFleet ? LargeFleetRoundStride * RoundsPerFullMessage : RoundsPerFullMessage;
     const bool fullMessage = alone || round % fullMessageStride == 0;
-    this->sendToPeers(FanOut,
-                      {alone, fullMessage || largeFleet, fullMessage, fullMessage || !largeFleet});
+    const bool withOlderRelease =
+        this->olderReleaseHeardAt && now - *this->olderReleaseHeardAt < OlderReleaseMemory;
+    const bool reachesFew = largeFleet && !withOlderRelease;
+    this->sendToPeers(reachesFew ? LargeFleetFanOut : FanOut,
+                      reachesFew ? LargeFleetDistantFanOut : FanOut,
+                      {.replyRequested = alone,
+                       .relayedStatuses = fullMessage || (largeFleet && withOlderRelease),
+                       .heartbeats = fullMessage || largeFleet,
+                       .slowlyChanging = fullMessage,
+                       .loadsAndUsages = fullMessage || !largeFleet});
+}
+
+auto PeerGossip::verifyDoubtfulMembers(Instant now) -> void
+{
+    auto doubtful = this->state.members.doubtfulMembers(now);
+    if (doubtful.empty()) {
+        return;
+    }
+    for (const auto *peer : this->state.members.sampleAlive(1, this->random, now)) {
+        this->requestStatuses(peer->status.peerAddress, std::move(doubtful), now);
+    }
 }
 
 auto PeerGossip::announcePhase() -> void
 {
-    this->sendToPeers(AnnounceFanOut, {false, false, true, true});
+    this->sendToPeers(AnnounceFanOut, AnnounceFanOut,
+                      {.slowlyChanging = true, .loadsAndUsages = true});
 }
 
-auto PeerGossip::sendToPeers(std::size_t fanOut, const Sections &sections) -> void
+auto PeerGossip::sendToPeers(std::size_t fanOut, std::size_t distantFanOut,
+                             const Sections &sections) -> void
 {
-    const auto targets = this->state.members.gossipTargets(fanOut, this->random, bootClockNow());
+    const auto targets =
+        this->state.members.gossipTargets(fanOut, distantFanOut, this->random, bootClockNow());
     if (targets.empty()) {
         return;
     }
--- a/src/gateway/peer_socket.cpp
+++ b/src/gateway/peer_socket.cpp
@@ -9,6 +9,33 @@
 using asio::ip::udp;
 using boost::system::error_code;
 
+auto messageTypeName(PeerMessageType type) -> std::string_view
+{
+    switch (type) {
+    case PeerMessageType::Gossip:
+        return "gossip";
+    case PeerMessageType::StatusRequest:
+        return "status_request";
+    case PeerMessageType::StoreChanges:
+        return "store_changes";
+    case PeerMessageType::UsageReport:
+        return "usage_report";
+    case PeerMessageType::UsageReply:
+        return "usage_reply";
+    case PeerMessageType::SlotRequest:
+        return "slot_request";
+    case PeerMessageType::SlotReply:
+        return "slot_reply";
+    case PeerMessageType::SlotReport:
+        return "slot_report";
+    case PeerMessageType::HeldSlots:
+        return "held_slots";
+    case PeerMessageType::FreeSlots:
+        return "free_slots";
+    }
+    return "unknown";
+}
+
 PeerSocket::PeerSocket(asio::io_context &context, const fleet::Endpoint &endpoint)
     : socket(context, udp::endpoint(asio::ip::make_address_v4(endpoint.ip), endpoint.port))
 {
@@ -61,8 +88,10 @@
     this->socket.send_to(buffers, {asio::ip::make_address_v4(destination->ip), destination->port},
                          0, error);
     if (!error) {
-        ++this->counters.sent;
-        this->counters.sentBytes += body.size() + 1;
+        for (auto *sent : {&this->counters.sent, &this->counters.sentByType[type]}) {
+            ++sent->count;
+            sent->bytes += body.size() + 1;
+        }
     }
     // A failed send counts as a lost datagram; later messages supersede its content.
 }
--- a/src/gateway/quota_coordination.cpp
+++ b/src/gateway/quota_coordination.cpp
@@ -95,13 +95,16 @@
     while (!this->pendingQueries.empty() && this->pendingQueries.begin()->second.deadline <= now) {
         this->finishQuery(this->pendingQueries.begin());
     }
+    const auto generation = this->state.members.generation(now);
     for (auto &[organisationId, reportState] : this->reportStates) {
         if (now - reportState.reportedAt < ReportInterval) {
             continue;
         }
         if (reportState.hasUnreported
-            || reportState.coordinators
-                   != this->state.members.coordinators(organisationId, CoordinatorCount, now)) {
+            || (std::exchange(reportState.checkedGeneration, generation) != generation
+                && reportState.coordinators
+                       != this->state.members.coordinators(organisationId, CoordinatorCount,
+                                                           now))) {
             this->sendReport(organisationId, reportState, 0, now);
         }
     }
--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -19,8 +19,8 @@
 } // namespace
 
 NodeState::NodeState(const fleet::ProcessSettings &settings, Instant now)
-    : members(settings.peers.text(), settings.seeds, now), quotas(settings.bounds, now),
-      retryBudget(settings.bounds), coldLimiter(settings.bounds)
+    : members(settings.peers.text(), settings.seeds, now, settings.domain),
+      quotas(settings.bounds, now), retryBudget(settings.bounds), coldLimiter(settings.bounds)
 {
 }
 
--- a/src/gateway/slot_coordination.cpp
+++ b/src/gateway/slot_coordination.cpp
@@ -277,6 +277,10 @@
 
 auto SlotCoordination::assignCoordinators(Instant now) -> void
 {
+    const std::pair inputs(this->state.members.generation(now), this->state.servers.generation());
+    if (std::exchange(this->assignedFor, inputs) == inputs) {
+        return;
+    }
     std::map<std::string, std::size_t> serverCounts;
     for (const auto &[id, server] : this->state.servers.all()) {
         ++serverCounts[server->registration.service];
--- a/src/gateway/store_mirror_sync.cpp
+++ b/src/gateway/store_mirror_sync.cpp
@@ -18,6 +18,11 @@
  * later; more only add duplicates.
  */
 constexpr std::size_t RelayFanOut = 4;
+/**
+ * Nodes of other domains that a watching node sends a change to. Each domain has a watching node of
+ * its own; while one has none, these relay the changes there.
+ */
+constexpr std::size_t DistantOriginFanOut = 2;
 /** An unreachable peer delays catching up by this, and an evacuation must arrive within seconds. */
 constexpr Duration InitialFetchTimeout = milliseconds(600);
 /** After failures: the largest configurations take a second on the slowest links. */
@@ -134,7 +139,7 @@
         from.revision > 0 ? encodeChangeBatch(this->mirror.makeBatch(keys, from, MaxBatchItemBytes))
                           : "";
     if (!bytes.empty() && bytes.size() <= PeerSocket::MaxBodyBytes) {
-        this->sendToSample(bytes, OriginFanOut);
+        this->sendToSample(bytes, OriginFanOut, DistantOriginFanOut);
     } // Otherwise peers detect the newer position in gossip and catch up.
     this->onChanged();
 }
@@ -158,15 +163,16 @@
                               && this->catchUp.noteUnreachable(
                                   this->progress(), batch->toPosition(), this->state.members, now);
     if (this->mirror.position() > previousPosition || !keys.empty() || announcesEra) {
-        this->sendToSample(body, RelayFanOut);
+        this->sendToSample(body, RelayFanOut, 0);
     }
     return true;
 }
 
-auto StoreMirrorSync::sendToSample(std::string_view bytes, std::size_t fanOut) -> void
+auto StoreMirrorSync::sendToSample(std::string_view bytes, std::size_t fanOut,
+                                   std::size_t distantFanOut) -> void
 {
     for (const auto *member :
-         this->state.members.sampleAlive(fanOut, this->random, bootClockNow())) {
+         this->state.members.sampleNearby(fanOut, distantFanOut, this->random, bootClockNow())) {
         this->socket.send(member->status.peerAddress, PeerMessageType::StoreChanges, bytes);
     }
 }
--- a/tests/fleet/fleet_size_tests.cpp
+++ b/tests/fleet/fleet_size_tests.cpp
@@ -1,4 +1,5 @@
 /** @file fleet_size_tests.cpp Cost and results of what a node does about each other node. */
+#include "banyanring/fleet/fleet_members.h"
 #include "banyanring/fleet/server_registry.h"
 
 #include <algorithm>
@@ -8,8 +9,24 @@
 
 using namespace banyanring;
 using namespace banyanring::fleet;
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr int FleetSize = 350;
+
+/** @return Status of a node. */
+auto statusOf(int node, std::uint64_t incarnation, std::uint64_t sequence,
+              NodePhase phase = NodePhase::Ready) -> NodeStatus
+{
+    NodeStatus status;
+    status.peerAddress = "10.0.0." + std::to_string(node) + ":7600";
+    status.domain = "domain-" + std::to_string(node % 6);
+    status.incarnation = incarnation;
+    status.sequence = sequence;
+    status.phase = phase;
+    return status;
+}
+
 /** Adds servers with latencies that a peer measured. */
 auto fillRegistry(ServerRegistry &registry, std::size_t count) -> std::vector<ServerLatencyReport>
 {
@@ -46,6 +63,11 @@
 {
     CPPUNIT_TEST_SUITE(FleetSizeFixture);
     CPPUNIT_TEST(adoptPeerLatencies_manyServers_takesTimePerReportOnly);
+    CPPUNIT_TEST(generation_newStatusesOnly_isUnchanged);
+    CPPUNIT_TEST(generation_memberLost_changes);
+    CPPUNIT_TEST(generation_memberRestartedOrDraining_changes);
+    CPPUNIT_TEST(coordinators_manyMembers_areTheHighestRanked);
+    CPPUNIT_TEST(coordinators_memberLost_areChosenAmongTheOthers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -57,6 +79,90 @@
         // A search among all servers for each report would take Factor times as long again.
         CPPUNIT_ASSERT(many < 8 * Factor * few);
     }
+
+    auto generation_newStatusesOnly_isUnchanged() -> void
+    {
+        this->hearAll(seconds(10));
+        const auto generation = this->members.generation(seconds(10));
+        for (int round = 1; round <= 40; ++round) {
+            const auto now = seconds(10) + round * milliseconds(500);
+            this->hearAll(now);
+            CPPUNIT_ASSERT_EQUAL(generation, this->members.generation(now));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{FleetSize}, this->members.aliveMembers(now).size());
+        }
+    }
+
+    auto generation_memberLost_changes() -> void
+    {
+        this->hearAll(seconds(10));
+        const auto generation = this->members.generation(seconds(10));
+        const auto lostAt = seconds(10) + this->members.aliveTimeout();
+        const auto before = lostAt - milliseconds(1);
+        CPPUNIT_ASSERT_EQUAL(generation, this->members.generation(before));
+        this->hearAll(before, 1);
+        CPPUNIT_ASSERT(this->members.generation(lostAt) != generation);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{FleetSize - 1}, this->members.aliveMembers(lostAt).size());
+    }
+
+    auto generation_memberRestartedOrDraining_changes() -> void
+    {
+        this->hearAll(seconds(10));
+        const auto first = this->members.generation(seconds(10));
+        this->members.mergeStatus(statusOf(5, 99, 1), seconds(11));
+        const auto restarted = this->members.generation(seconds(11));
+        CPPUNIT_ASSERT(restarted != first);
+        CPPUNIT_ASSERT(this->members.aliveIncarnations(seconds(11)).contains(99));
+        this->members.mergeStatus(statusOf(5, 99, 2, NodePhase::Draining), seconds(11));
+        CPPUNIT_ASSERT(this->members.generation(seconds(11)) != restarted);
+    }
+
+    auto coordinators_manyMembers_areTheHighestRanked() -> void
+    {
+        this->hearAll(seconds(10));
+        for (std::uint32_t key = 0; key < 200; ++key) {
+            std::vector<std::pair<std::uint64_t, std::string>> ranked{
+                {this->rankOf(key, this->self), this->self}};
+            for (int node = 0; node < FleetSize; ++node) {
+                const auto address = statusOf(node, 1, 1).peerAddress;
+                ranked.emplace_back(this->rankOf(key, address), address);
+            }
+            std::sort(ranked.begin(), ranked.end(), std::greater<>());
+            CPPUNIT_ASSERT(this->members.coordinators(key, 2, seconds(10))
+                           == (std::vector<std::string>{ranked[0].second, ranked[1].second}));
+        }
+    }
+
+    auto coordinators_memberLost_areChosenAmongTheOthers() -> void
+    {
+        this->hearAll(seconds(10));
+        const auto first = this->members.coordinators(7, 2, seconds(10));
+        for (int node = 0; node < FleetSize; ++node) {
+            const auto status = statusOf(node, 1, 2);
+            if (status.peerAddress != first.front()) {
+                this->members.mergeStatus(status, seconds(11));
+            }
+        }
+        const auto lostAt = seconds(10) + this->members.aliveTimeout();
+        CPPUNIT_ASSERT_EQUAL(first.at(1), this->members.coordinators(7, 1, lostAt).front());
+    }
+
+private:
+    auto hearAll(Instant now, int firstNode = 0) -> void
+    {
+        ++this->sequence;
+        for (int node = firstNode; node < FleetSize; ++node) {
+            this->members.mergeStatus(statusOf(node, 1, this->sequence), now);
+        }
+    }
+
+    static auto rankOf(std::uint32_t key, std::string_view address) -> std::uint64_t
+    {
+        return mix64((static_cast<std::uint64_t>(key) << 32U) ^ hashName(address));
+    }
+
+    std::string self = "10.1.0.1:7600";
+    FleetMembers members{this->self, {}, seconds(0)};
+    std::uint64_t sequence = 0;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetSizeFixture);
--- a/tests/fleet/member_tests.cpp
+++ b/tests/fleet/member_tests.cpp
@@ -74,9 +74,9 @@
     auto gossipTargets_noneAlive_includesSeedsAndUnresponsiveNodes() -> void
     {
         this->members.mergeStatus(statusOf(2, 5, 1), seconds(10));
-        const auto targets = this->members.gossipTargets(8, this->random, seconds(20));
+        const auto targets = this->members.gossipTargets(8, 8, this->random, seconds(20));
         CPPUNIT_ASSERT(targets == (std::vector<std::string>{"10.0.0.2:7600", "10.0.0.9:7600"}));
-        CPPUNIT_ASSERT(this->members.gossipTargets(8, this->random, seconds(20)).empty());
+        CPPUNIT_ASSERT(this->members.gossipTargets(8, 8, this->random, seconds(20)).empty());
     }
 
     auto reachableFraction_anySplit_sumsToAtMostOne() -> void
