Quotas: a new coordinator learns in which half of the window a node's usage lies

Cause: a coordinator that did not know a node before spread its usage evenly over the window. The report now tells the newer half; nodes of earlier releases count evenly, as before.

The simulation plays 300 nodes with gossip at their rate and reports each 200 ms.

--- a/include/banyanring/fleet/peer_state_type.h
+++ b/include/banyanring/fleet/peer_state_type.h
@@ -96,6 +96,7 @@
     double fleetWindowUnits = 0; ///< The same of all nodes; 0 if it started less than a window ago.
     double demandPerSecond = 0; ///< Recent demand at the node, admitted or not.
     double pendingUnits = 0; ///< Units of requests that wait for a total and are not admitted yet.
+    double newerHalfUnits = 0; ///< Part of windowUnits in its newer half; 0 if unknown.
 };
 
 /** Units of an organisation that other nodes have admitted, summed by a coordinator. */
--- a/include/banyanring/fleet/sliding_window_counter.h
+++ b/include/banyanring/fleet/sliding_window_counter.h
@@ -50,6 +50,14 @@
      */
     auto addEvenly(double amount, Instant now) -> void;
 
+    /**
+     * Adds amounts that arrived some time in the two halves of the window, evenly spread.
+     * @param olderAmount Amount in the older half.
+     * @param newerAmount Amount in the newer half; if it is 0, both are spread over the window.
+     * @param now Current time.
+     */
+    auto addHalves(double olderAmount, double newerAmount, Instant now) -> void;
+
     /** Removes all amounts. */
     auto clear() -> void
     {
--- a/src/fleet/quota_limiter.cpp
+++ b/src/fleet/quota_limiter.cpp
@@ -279,7 +279,8 @@
         if (!added) {
             usage.window.add(addedUnits, now);
         } else if (!this->recentlyStarted(now)) {
-            usage.window.addEvenly(report.windowUnits, now);
+            usage.window.addHalves(report.windowUnits - report.newerHalfUnits,
+                                   report.newerHalfUnits, now);
         } else if (report.fleetWindowUnits > 0) {
             // This node has assumed its usage before the start; a peer that has run longer reports
             // it.
@@ -329,7 +330,8 @@
             usage.own.sum(now),
             this->recentlyStarted(now) ? 0 : this->fleetUsage(organisation, usage, 1, now).window,
             usage.demand.sum(now) / this->demandSeconds(now),
-            pending};
+            pending,
+            usage.own.newerHalfSum(now)};
 }
 
 auto QuotaLimiter::ownUsages(Instant now) -> std::vector<OrganisationUsage>
--- a/src/fleet/sliding_window_counter.cpp
+++ b/src/fleet/sliding_window_counter.cpp
@@ -52,6 +52,23 @@
     }
 }
 
+auto SlidingWindowCounter::addHalves(double olderAmount, double newerAmount, Instant now) -> void
+{
+    if (newerAmount <= 0) {
+        this->addEvenly(olderAmount, now);
+        return;
+    }
+    this->advance(now);
+    const auto size = static_cast<std::int64_t>(this->buckets.size());
+    const auto newerSize = std::int64_t{BucketCount / 2 + 1};
+    for (std::int64_t age = 0; age < size && age <= this->newestBucket; ++age) {
+        auto &bucket =
+            this->buckets.at(static_cast<std::size_t>((this->newestBucket - age) % size));
+        bucket += age < newerSize ? newerAmount / static_cast<double>(newerSize)
+                                  : olderAmount / static_cast<double>(size - newerSize);
+    }
+}
+
 auto SlidingWindowCounter::timeUntilExpired(double amount, Instant now) -> Duration
 {
     this->advance(now);
--- a/src/gateway/gossip_codec.cpp
+++ b/src/gateway/gossip_codec.cpp
@@ -22,7 +22,7 @@
                std::uint64_t, std::uint64_t, bool, bool, std::int64_t, std::uint64_t>;
 using LoadTuple = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>;
 using LatencyTuple = std::tuple<std::uint32_t, float, float, float>;
-using UsageTuple = std::tuple<std::uint32_t, double, double, double, double, double>;
+using UsageTuple = std::tuple<std::uint32_t, double, double, double, double, double, double>;
 using UsageReportTuple = std::tuple<int, std::uint64_t, std::uint64_t, UsageTuple>;
 using UsageReplyTuple = std::tuple<int, std::uint64_t, std::uint32_t, double, double, double, bool>;
 /** Suspect, servers, age of the last answer, ages of the crashes, run times; times in ms. */
@@ -124,8 +124,9 @@
 auto fromTuple(const UsageTuple &tuple) -> fleet::OrganisationUsage
 {
     const auto &[organisation, totalUnits, windowUnits, fleetWindowUnits, demandPerSecond,
-                 pendingUnits] = tuple;
-    return {organisation, totalUnits, windowUnits, fleetWindowUnits, demandPerSecond, pendingUnits};
+                 pendingUnits, newerHalfUnits] = tuple;
+    return {organisation,    totalUnits,   windowUnits,   fleetWindowUnits,
+            demandPerSecond, pendingUnits, newerHalfUnits};
 }
 
 /** @return A time of a received message, given in milliseconds. */
@@ -174,8 +175,8 @@
 /** @return The tuple that is sent for an organisation's usage. */
 auto toTuple(const fleet::OrganisationUsage &usage) -> UsageTuple
 {
-    return {usage.organisation,     usage.totalUnits,      usage.windowUnits,
-            usage.fleetWindowUnits, usage.demandPerSecond, usage.pendingUnits};
+    return {usage.organisation,    usage.totalUnits,   usage.windowUnits,   usage.fleetWindowUnits,
+            usage.demandPerSecond, usage.pendingUnits, usage.newerHalfUnits};
 }
 
 } // namespace
--- a/tests/fleet/quota_tests.cpp
+++ b/tests/fleet/quota_tests.cpp
@@ -64,6 +64,9 @@
     CPPUNIT_TEST(largeFleet_overload_usesTheFullLimit);
     CPPUNIT_TEST(largeFleet_overloadAndRestarts_staysWithinTheBound);
     CPPUNIT_TEST(largeFleet_overloadAndPartition_staysWithinTheBound);
+    CPPUNIT_TEST(hundredsOfNodes_usualLoad_nearlyAllAdmitted);
+    CPPUNIT_TEST(hundredsOfNodes_overloadAndRestarts_staysWithinTheBound);
+    CPPUNIT_TEST(hundredsOfNodes_overloadAndPartition_staysWithinTheBound);
     CPPUNIT_TEST_SUITE_END();
 
     /** Fraction of its rate that the organisation usually sends. */
@@ -92,8 +95,17 @@
         bool partition = false;
         std::size_t nodes = 9;
         bool coordinators = false; ///< The nodes query coordinators of the quota.
+        bool reports = false; ///< The nodes report admissions to the coordinators each 200 ms.
+        Duration gossipInterval = milliseconds(100);
+        std::size_t fanOut = FanOut; ///< Number of nodes that each gossip round reaches.
     };
 
+    /** @return The largest deployment, in which usages are rarely gossiped. */
+    static auto hundredsOfNodes(double demandFactor, bool restarts, bool partition) -> Scenario
+    {
+        return {600000, demandFactor, restarts, partition, 300, true, true, seconds(1), 3};
+    }
+
     /** Results of a simulation. */
     struct Result
     {
@@ -152,8 +164,13 @@
                     admitted.emplace_back(now, request.size);
                 }
             }
-            if (now / step % 5 == 0) {
-                gossip(peers, now, random);
+            if (scenario.reports && now % milliseconds(200) == Duration(0)) {
+                for (std::size_t peer = 0; peer < peers.size(); ++peer) {
+                    queryCoordinators(peers, {peer, 0}, red, now);
+                }
+            }
+            if (now % scenario.gossipInterval == Duration(0)) {
+                gossip(peers, scenario, now, random);
             }
         }
         this->findWorstWindow(admitted, result);
@@ -197,7 +214,8 @@
         }
     }
 
-    static auto gossip(std::vector<Peer> &peers, Instant now, std::mt19937_64 &random) -> void
+    static auto gossip(std::vector<Peer> &peers, const Scenario &scenario, Instant now,
+                       std::mt19937_64 &random) -> void
     {
         for (auto &from : peers) {
             const auto usages = from.limiter.ownUsages(now);
@@ -208,13 +226,14 @@
                 }
                 alivePeers.insert(to.incarnation);
                 const bool dropped = random() % 50 == 0;
-                if (random() % peers.size() < FanOut && !dropped) {
+                if (random() % peers.size() < scenario.fanOut && !dropped) {
                     to.withoutGossip = false;
                     to.limiter.mergePeerUsage(from.incarnation, usages, now);
                 }
             }
-            const auto rounds = static_cast<std::int64_t>(peers.size() / FanOut);
-            from.limiter.setAlivePeers(std::move(alivePeers), milliseconds(400 + 100 * rounds));
+            const auto rounds = static_cast<std::int64_t>(peers.size() / scenario.fanOut);
+            from.limiter.setAlivePeers(std::move(alivePeers),
+                                       milliseconds(400) + scenario.gossipInterval * rounds);
         }
     }
 
@@ -327,6 +346,27 @@
         this->checkSeeds({600000, 6, false, true, 87, true}, 5);
     }
 
+    auto hundredsOfNodes_usualLoad_nearlyAllAdmitted() -> void
+    {
+        const auto result = this->run(1, hundredsOfNodes(1, false, false));
+        CPPUNIT_ASSERT(result.admitted > 0.99 * result.requested);
+        // Demand below the limit is not rejected either, as long as the whole window is within it.
+        const auto atTheLimit = this->run(1, hundredsOfNodes(1.7, false, false));
+        CPPUNIT_ASSERT(atTheLimit.admitted > 0.99 * atTheLimit.requested);
+        CPPUNIT_ASSERT(atTheLimit.worstWindow <= this->boundOf(600000));
+    }
+
+    auto hundredsOfNodes_overloadAndRestarts_staysWithinTheBound() -> void
+    {
+        this->checkSeeds(hundredsOfNodes(6, true, false), 2);
+        this->checkSeeds(hundredsOfNodes(2, true, false), 2);
+    }
+
+    auto hundredsOfNodes_overloadAndPartition_staysWithinTheBound() -> void
+    {
+        this->checkSeeds(hundredsOfNodes(6, false, true), 2);
+    }
+
 private:
     FleetBounds bounds;
 };
