Queue: callers that return wait behind those in time, but longer; long prompts may wait as well

Cause: a rejected caller returns with a new attempt and looked like a first one, so it took a slot from a request that could still be on time, although its own target had passed; and all of a burst came back together after a third of their timeout. A long prompt whose doubled reading time exceeds the target counted as late from the start and was rejected for any wait above 100 ms.

Change: the decisions are a module without network (admission_policy). The time left that callers send tells returning ones from first attempts (a timeout that a fifth of a route's recent requests have is a first one); they are late from their first attempt on, and may wait for half of their timeout instead of a quarter. A long prompt may wait for half of the time that reading leaves. Retry-After is spread from a fifth to a third of the time left.

--- a/include/banyanring/fleet/admission_queue.h
+++ b/include/banyanring/fleet/admission_queue.h
@@ -64,10 +64,11 @@
     /**
      * Counts the waiting requests that would be dispatched before a new one of a tier.
      * @param tier Tier of the new request.
+     * @param latencyDeadline Its latency deadline.
      * @param now Current time.
      * @return Number of requests; the usage of organisations is not taken into account.
      */
-    auto countAhead(std::uint32_t tier, Instant now) const -> std::size_t;
+    auto countAhead(std::uint32_t tier, Instant latencyDeadline, Instant now) const -> std::size_t;
 
     /**
      * Counts the waiting requests that would be dispatched before a given one. The usage of
--- a/include/banyanring/gateway/active_request.h
+++ b/include/banyanring/gateway/active_request.h
@@ -133,7 +133,8 @@
     auto estimatedCost() const -> double;
     auto chargeQuota() -> bool;
     auto chooseService() -> void;
-    auto enqueue(Duration maxWait) -> void;
+    auto enqueue(const fleet::WaitBudget &budget) -> void;
+    auto enqueueRetry(Duration maxWait) -> void;
     auto assignSlotRequestId() -> void;
     auto requestSlot() -> bool;
     auto renewSlotRequest() -> bool;
@@ -224,6 +225,7 @@
     std::set<std::string> triedServers; ///< Ids of servers not to try again.
     bool usageQueryPending = false; ///< A usage query is pending.
     bool queued = false; ///< It is in the queue of its service.
+    Duration waitedBefore{}; ///< Time since the caller's first attempt, as far as known.
     Instant latencyDeadline{}; ///< Latest dispatch time that meets the latency target.
     Instant queueDeadline{}; ///< Time at which it is rejected if still queued.
     /** Id of the last slot request, or of a slot taken without one. */
--- a/include/banyanring/gateway/scheduler.h
+++ b/include/banyanring/gateway/scheduler.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "banyanring/fleet/active_config.h"
+#include "banyanring/fleet/admission_policy.h"
 #include "banyanring/fleet/admission_queue.h"
 #include "banyanring/fleet/crash_suspects.h"
 #include "banyanring/fleet/fleet_members.h"
@@ -210,7 +211,8 @@
     auto placeService(const std::string &service) -> void;
     auto destroyFinished() -> void;
     auto findBySlotRequest(std::uint64_t slotRequestId) -> ActiveRequest *;
-    auto expectedWait(const std::string &service, std::uint32_t tier) -> Duration;
+    auto expectedWait(const std::string &service, std::uint32_t tier, Instant latencyDeadline)
+        -> Duration;
     auto deferralTime(const std::string &service) const -> Duration;
     auto limitBufferedBytes() -> void;
 
@@ -228,6 +230,7 @@
     std::unordered_map<std::uint64_t, std::unique_ptr<ActiveRequest>> requests;
     std::unordered_map<std::string, fleet::ServiceQueue> queues; ///< Own requests, by service.
     std::unordered_map<std::string, double> outputTokenAverages; ///< By route prefix.
+    fleet::CallerTimeouts callerTimeouts; ///< By route prefix.
     std::set<std::string> dirtyServices; ///< Services whose queued requests may be placeable.
     std::deque<RequestTrace> traces; ///< Finished requests, oldest first.
     /** Requests to destroy, which must not happen inside their own member functions. */
--- a/src/fleet/admission_queue.cpp
+++ b/src/fleet/admission_queue.cpp
@@ -76,11 +76,13 @@
     return numbers;
 }
 
-auto AdmissionQueue::countAhead(std::uint32_t tier, Instant now) const -> std::size_t
+auto AdmissionQueue::countAhead(std::uint32_t tier, Instant latencyDeadline, Instant now) const
+    -> std::size_t
 {
+    const std::tuple newRank(latencyDeadline < now, tier);
     return static_cast<std::size_t>(
         std::count_if(this->waiting.begin(), this->waiting.end(), [&](const auto &request) {
-            return request.tier <= tier && request.latencyDeadline >= now;
+            return std::tuple(request.latencyDeadline < now, request.tier) <= newRank;
         }));
 }
 
--- a/src/fleet/slot_allocator.cpp
+++ b/src/fleet/slot_allocator.cpp
@@ -55,7 +55,8 @@
     if (!this->coordinates(service)) {
         return {request.id, SlotOutcome::NotCoordinator, 0, {}};
     }
-    const auto wait = queue.expectedWait(queue.waiting.countAhead(request.tier, now));
+    const auto wait = queue.expectedWait(
+        queue.waiting.countAhead(request.tier, now + request.latencyBudget, now));
     const auto number = this->nextNumber++;
     this->queueNumbers[key] = number;
     this->waitingRequests[number] = {request, service, now};
--- a/src/gateway/active_request.cpp
+++ b/src/gateway/active_request.cpp
@@ -18,15 +18,6 @@
 constexpr Duration MinStreamTimeout = milliseconds(2000);
 constexpr int TimeoutTargetFactor = 4; ///< Multiple of the latency target.
 constexpr int TimeoutGapFactor = 8; ///< Multiple of the event gap target.
-/** Fraction of the caller's timeout that a request may be queued; the rest is for processing. */
-constexpr double QueueTimeFraction = 0.25;
-/** Expected times to the first byte are averages, so a request needs time for twice as long. */
-constexpr double FirstByteMargin = 2;
-/**
- * Divides the time left to get the time after which a rejected caller retries. Bursts last for
- * seconds, so a short delay would not help.
- */
-constexpr int RetryAfterDivisor = 3;
 constexpr Duration RetryLatencyTarget = milliseconds(100); ///< A retry is urgent.
 constexpr Duration MinRetryAfter = milliseconds(250); ///< For short-lived conditions.
 constexpr Duration MaxRetryAfter = std::chrono::seconds(5); ///< Callers do not wait longer.
@@ -143,7 +134,19 @@
         return;
     }
     this->chooseService();
-    this->enqueue(std::chrono::duration_cast<Duration>(this->callerTimeout() * QueueTimeFraction));
+    const auto now = this->scheduler.clock();
+    this->waitedBefore = this->request.timeLeft ? this->scheduler.callerTimeouts.waitedBefore(
+                             this->route->prefix, *this->request.timeLeft)
+                                                : Duration(0);
+    if (this->waitedBefore > Duration(0)) {
+        this->addStep("returned", "after " + formatSeconds(this->waitedBefore) + " s");
+    }
+    const auto firstByteTime = milliseconds(
+        static_cast<std::int64_t>(fleet::expectedFirstByteMs(fleet::Server{}, this->profile)));
+    this->enqueue(
+        fleet::waitBudget({this->request.arrivedAt, this->waitedBefore, this->route->latencyTarget,
+                           firstByteTime, this->callerTimeout()},
+                          now));
 }
 
 auto ActiveRequest::chooseService() -> void
@@ -240,19 +243,13 @@
     return this->scheduler.state.config.findService(this->service);
 }
 
-auto ActiveRequest::enqueue(Duration maxWait) -> void
+auto ActiveRequest::enqueue(const fleet::WaitBudget &budget) -> void
 {
-    const auto now = this->scheduler.clock();
     this->body.clear(); // A queued request has no exchange that limitBufferedBytes() could end.
     auto &queue = this->scheduler.queueOf(this->service);
-    const auto firstByteTime = milliseconds(static_cast<std::int64_t>(
-        FirstByteMargin * fleet::expectedFirstByteMs(fleet::Server{}, this->profile)));
     const auto organisationId = this->organisation ? hashName(this->organisation->name) : 0;
-    const bool isRetry = this->dispatches > 0;
-    this->latencyDeadline =
-        isRetry ? now + RetryLatencyTarget
-                : this->request.arrivedAt + this->route->latencyTarget - firstByteTime;
-    this->queueDeadline = std::min(now + maxWait, this->deadline);
+    this->latencyDeadline = budget.latencyDeadline;
+    this->queueDeadline = std::min(budget.queueDeadline, this->deadline);
     this->assignSlotRequestId();
     this->queued = true;
     queue.waiting.push({this->number, this->priority(), organisationId, this->estimatedCost(),
@@ -262,6 +259,12 @@
     }
 }
 
+auto ActiveRequest::enqueueRetry(Duration maxWait) -> void
+{
+    const auto now = this->scheduler.clock();
+    this->enqueue({now + RetryLatencyTarget, now + maxWait});
+}
+
 auto ActiveRequest::estimatedCost() const -> double
 {
     return 1 + this->profile.promptWork + this->profile.expectedOutputTokens;
@@ -270,7 +273,8 @@
 auto ActiveRequest::retryAfter(Duration wait) const -> Duration
 {
     const auto timeLeft = this->deadline - this->scheduler.clock();
-    return std::max({MinRetryAfter, wait, timeLeft / RetryAfterDivisor});
+    return std::max(MinRetryAfter,
+                    fleet::overloadRetryAfter(wait, timeLeft, this->scheduler.random));
 }
 
 auto ActiveRequest::rejectQueued() -> void
@@ -281,9 +285,9 @@
                              ? RequestOutcome::NoServer
                              : RequestOutcome::Overload;
     if (!this->mayHaveExecuted) {
-        this->reject(
-            503, outcome,
-            this->retryAfter(this->scheduler.expectedWait(this->service, this->priority())));
+        this->reject(503, outcome,
+                     this->retryAfter(this->scheduler.expectedWait(this->service, this->priority(),
+                                                                   this->latencyDeadline)));
         return;
     }
     this->failMaybeExecuted(502, outcome);
--- a/src/gateway/active_request_exchange.cpp
+++ b/src/gateway/active_request_exchange.cpp
@@ -297,7 +297,7 @@
         } else {
             this->triedServers.insert(id);
             this->addStep("unreachable", id);
-            this->enqueue(this->retryWait());
+            this->enqueueRetry(this->retryWait());
         }
     } else {
         this->handleServerFailure(failure == ExchangeFailure::NoResponse  ? "no_answer"
@@ -328,7 +328,7 @@
     auto &state = this->scheduler.state;
     if (this->dispatches < MaxDispatches && now + MinRetryTime < this->deadline
         && state.retryBudget.tryTake(this->service, state.members.fleetSize(now), now)) {
-        this->enqueue(this->retryWait());
+        this->enqueueRetry(this->retryWait());
         return;
     }
     this->rejectQueued();
@@ -374,7 +374,7 @@
     this->triedServers.insert(this->server->registration.id);
     this->addStep(this->streamStarted ? "resumed" : "retried", std::string(reason));
     this->scheduler.metrics.countEvent(this->streamStarted ? "resumed" : "retried");
-    this->enqueue(MaxRetryWait);
+    this->enqueueRetry(MaxRetryWait);
 }
 
 auto ActiveRequest::recordResponseStats() -> void
--- a/src/gateway/active_request_slots.cpp
+++ b/src/gateway/active_request_slots.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-using std::chrono::milliseconds;
-
-/** Requests are not rejected for an expected wait below this. */
-constexpr Duration MinRejectedWait = milliseconds(100);
 constexpr std::size_t MaxExcludedServers = 16; ///< Limits the size of a slot request.
 
 } // namespace
@@ -162,7 +158,8 @@
     if (this->tryPlace() || this->dispatches > 0) {
         return;
     }
-    const auto wait = this->scheduler.expectedWait(this->service, this->priority());
+    const auto wait =
+        this->scheduler.expectedWait(this->service, this->priority(), this->latencyDeadline);
     if (!this->rejectLongWait(wait)) {
         this->addStep("queued",
                       std::to_string(this->scheduler.queueOf(this->service).waiting.size())
@@ -172,9 +169,8 @@
 
 auto ActiveRequest::rejectLongWait(Duration wait) -> bool
 {
-    const auto now = this->scheduler.clock();
-    if (this->dispatches > 0
-        || now + wait <= std::max(this->latencyDeadline, now + MinRejectedWait)) {
+    const fleet::WaitBudget budget{this->latencyDeadline, this->queueDeadline};
+    if (this->dispatches > 0 || !fleet::isWaitTooLong(budget, wait, this->scheduler.clock())) {
         return false;
     }
     this->addStep("queue_full", "expected " + formatSeconds(wait) + " s");
--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -251,11 +251,12 @@
            || server.requestLimit.permits(this->limitShare(server, now), true, now);
 }
 
-auto Scheduler::expectedWait(const std::string &service, std::uint32_t tier) -> Duration
+auto Scheduler::expectedWait(const std::string &service, std::uint32_t tier,
+                             Instant latencyDeadline) -> Duration
 {
     const auto &queue = this->queues[service];
-    return std::max(queue.expectedWait(queue.waiting.countAhead(tier, this->clock())),
-                    this->deferralTime(service));
+    const auto ahead = queue.waiting.countAhead(tier, latencyDeadline, this->clock());
+    return std::max(queue.expectedWait(ahead), this->deferralTime(service));
 }
 
 auto Scheduler::limitBufferedBytes() -> void
