Large fleets: addresses of all nodes for callers, and changes that stay in watched domains

Cause: the directory listed the same 64 addresses to all callers, the lowest ones. At 295 nodes 231 had no callers, and the five nodes that may send to a cold server often had no request for it. And nodes relayed each batch of each of the six watchers, which begin and end at other revisions, through the whole fleet: 1.2 to 1.5 MB a node in 30 s, most bytes of all.

Change: the callers of each failure domain get other nodes, from all domains, the same at every directory. Batches are relayed within a domain; only domains without a node that reaches the store get them from others.

Tests: the lists of six domains cover 350 nodes, at most twice each, and are the same at another node.

--- a/include/banyanring/fleet/fleet_members.h
+++ b/include/banyanring/fleet/fleet_members.h
@@ -123,6 +123,13 @@
     auto sampleNearby(std::size_t maxCount, std::size_t distantCount, std::mt19937_64 &random,
                       Instant now) const -> std::vector<const Member *>;
 
+    /**
+     * Lists the failure domains without an alive node that watches and reaches the store.
+     * @param now Current time.
+     * @return Names of those domains, this node left out of account.
+     */
+    auto unwatchedDomains(Instant now) const -> std::set<std::string_view>;
+
     /**
      * Lists the incarnations of the nodes that are considered alive, without this one.
      * @param now Current time.
--- a/include/banyanring/gateway/store_mirror_sync.h
+++ b/include/banyanring/gateway/store_mirror_sync.h
@@ -61,9 +61,10 @@
 private:
     auto storeCallbacks() -> platform::StoreReader::Callbacks;
     auto handleStoreChanges(const std::vector<std::string> &keys) -> void;
-    auto handleBatch(std::string_view body) -> bool;
-    auto sendToSample(std::string_view bytes, std::size_t fanOut, std::size_t distantFanOut)
-        -> void;
+    auto handleBatch(std::string_view body, const std::string &from) -> bool;
+    auto relaysFrom(const std::string &sender, Instant now) const -> bool;
+    auto sendToSample(std::string_view bytes, std::size_t fanOut) -> void;
+    auto sendToUnwatchedDomains(std::string_view bytes) -> void;
     auto beginNewEra(std::string_view source, Instant now) -> bool;
     auto progress() const -> fleet::MirrorCatchUp::Progress;
     auto updateReachability(Instant now) -> void;
@@ -73,6 +74,7 @@
 
     NodeState &state;
     PeerSocket &socket;
+    std::string domain; ///< Failure domain of this node.
     std::function<void()> onChanged;
     fleet::StoreMirror mirror;
     platform::StoreUpdateApplier updateApplier;
--- a/src/fleet/fleet_members.cpp
+++ b/src/fleet/fleet_members.cpp
@@ -187,6 +187,23 @@
     return sampled;
 }
 
+auto FleetMembers::unwatchedDomains(Instant now) const -> std::set<std::string_view>
+{
+    std::set<std::string_view> domains{this->domain};
+    std::set<std::string_view> watched;
+    for (const auto *member : this->aliveMembers(now)) {
+        const auto &status = member->status;
+        domains.insert(status.domain);
+        if (status.storeReachable) {
+            watched.insert(status.domain);
+        }
+    }
+    for (const auto domain : watched) {
+        domains.erase(domain);
+    }
+    return domains;
+}
+
 auto FleetMembers::aliveIncarnations(Instant now) const -> std::set<std::uint64_t>
 {
     std::set<std::uint64_t> result;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -62,14 +62,15 @@
                             return platform::handleReadinessRequest(
                                 request, this->phase == fleet::NodePhase::Ready);
                         })),
-      directoryListener(
-          this->context, this->settings.directory,
-          this->requestHandler([this](const CallerRequest &request) {
-              return platform::handleResolveRequest(
-                  request,
-                  fleet::listEntryAddresses(this->ownStatus(), this->state.members, bootClockNow()),
-                  std::min(DirectoryTtl, this->settings.bounds.directoryTtl));
-          })),
+      directoryListener(this->context, this->settings.directory,
+                        this->requestHandler([this](const CallerRequest &request) {
+                            return platform::handleResolveRequest(
+                                request,
+                                fleet::listEntryAddresses(this->ownStatus(), this->state.members,
+                                                          platform::callerDomain(request),
+                                                          bootClockNow()),
+                                std::min(DirectoryTtl, this->settings.bounds.directoryTtl));
+                        })),
       peerListener(this->context, this->settings.peers,
                    this->requestHandler([this](const CallerRequest &request) {
                        return this->handlePeerRequest(request);
--- a/src/gateway/store_mirror_sync.cpp
+++ b/src/gateway/store_mirror_sync.cpp
@@ -18,11 +18,8 @@
  * later; more only add duplicates.
  */
 constexpr std::size_t RelayFanOut = 4;
-/**
- * Nodes of other domains that a watching node sends a change to. Each domain has a watching node of
- * its own; while one has none, these relay the changes there.
- */
-constexpr std::size_t DistantOriginFanOut = 2;
+/** Nodes that a watching node sends a change to in each domain that has no watching node. */
+constexpr std::size_t UnwatchedDomainFanOut = 2;
 /** An unreachable peer delays catching up by this, and an evacuation must arrive within seconds. */
 constexpr Duration InitialFetchTimeout = milliseconds(600);
 /** After failures: the largest configurations take a second on the slowest links. */
@@ -39,15 +36,16 @@
 StoreMirrorSync::StoreMirrorSync(boost::asio::io_context &context,
                                  const fleet::ProcessSettings &settings, NodeState &state,
                                  PeerSocket &socket, std::function<void()> onChanged)
-    : state(state), socket(socket), onChanged(std::move(onChanged)),
+    : state(state), socket(socket), domain(settings.domain), onChanged(std::move(onChanged)),
       updateApplier(this->mirror, state),
       storeReader(context, settings.store.text(), this->mirror, this->storeCallbacks()),
       watchElection(settings, bootClockNow()), catchUp(std::random_device{}()), peerClient(context),
       random(std::random_device{}())
 {
-    socket.setHandler(
-        PeerMessageType::StoreChanges,
-        [this](std::string_view body, const std::string &) { return this->handleBatch(body); });
+    socket.setHandler(PeerMessageType::StoreChanges,
+                      [this](std::string_view body, const std::string &from) {
+                          return this->handleBatch(body, from);
+                      });
 }
 
 auto StoreMirrorSync::storeCallbacks() -> platform::StoreReader::Callbacks
@@ -139,12 +137,13 @@
         from.revision > 0 ? encodeChangeBatch(this->mirror.makeBatch(keys, from, MaxBatchItemBytes))
                           : "";
     if (!bytes.empty() && bytes.size() <= PeerSocket::MaxBodyBytes) {
-        this->sendToSample(bytes, OriginFanOut, DistantOriginFanOut);
+        this->sendToSample(bytes, OriginFanOut);
+        this->sendToUnwatchedDomains(bytes);
     } // Otherwise peers detect the newer position in gossip and catch up.
     this->onChanged();
 }
 
-auto StoreMirrorSync::handleBatch(std::string_view body) -> bool
+auto StoreMirrorSync::handleBatch(std::string_view body, const std::string &from) -> bool
 {
     const auto batch = decodeChangeBatch(body);
     if (!batch) {
@@ -162,17 +161,41 @@
     const bool announcesEra = isUnreachable
                               && this->catchUp.noteUnreachable(
                                   this->progress(), batch->toPosition(), this->state.members, now);
-    if (this->mirror.position() > previousPosition || !keys.empty() || announcesEra) {
-        this->sendToSample(body, RelayFanOut, 0);
+    const bool isNews = this->mirror.position() > previousPosition || !keys.empty() || announcesEra;
+    if (isNews && this->relaysFrom(from, now)) {
+        this->sendToSample(body, RelayFanOut);
     }
     return true;
 }
 
-auto StoreMirrorSync::sendToSample(std::string_view bytes, std::size_t fanOut,
-                                   std::size_t distantFanOut) -> void
+auto StoreMirrorSync::relaysFrom(const std::string &sender, Instant now) const -> bool
+{
+    const auto &members = this->state.members;
+    const auto found = members.all().find(sender);
+    return found == members.all().end() || found->second.status.domain == this->domain
+           || this->watching || members.unwatchedDomains(now).contains(this->domain);
+}
+
+auto StoreMirrorSync::sendToSample(std::string_view bytes, std::size_t fanOut) -> void
 {
     for (const auto *member :
-         this->state.members.sampleNearby(fanOut, distantFanOut, this->random, bootClockNow())) {
+         this->state.members.sampleNearby(fanOut, 0, this->random, bootClockNow())) {
+        this->socket.send(member->status.peerAddress, PeerMessageType::StoreChanges, bytes);
+    }
+}
+
+auto StoreMirrorSync::sendToUnwatchedDomains(std::string_view bytes) -> void
+{
+    const auto now = bootClockNow();
+    const auto unwatched = this->state.members.unwatchedDomains(now);
+    std::map<std::string_view, std::size_t> sentByDomain;
+    for (const auto *member : this->state.members.sampleAlive(
+             unwatched.empty() ? 0 : this->state.members.all().size(), this->random, now)) {
+        const auto &domain = member->status.domain;
+        if (domain == this->domain || !unwatched.contains(domain)
+            || sentByDomain[domain]++ >= UnwatchedDomainFanOut) {
+            continue;
+        }
         this->socket.send(member->status.peerAddress, PeerMessageType::StoreChanges, bytes);
     }
 }
--- a/tests/fleet/fleet_size_tests.cpp
+++ b/tests/fleet/fleet_size_tests.cpp
@@ -1,5 +1,5 @@
 /** @file fleet_size_tests.cpp Cost and results of what a node does about each other node. */
-#include "banyanring/fleet/fleet_members.h"
+#include "banyanring/fleet/fleet_directory.h"
 #include "banyanring/fleet/server_registry.h"
 
 #include <algorithm>
@@ -13,6 +13,7 @@
 using std::chrono::seconds;
 
 constexpr int FleetSize = 350;
+constexpr const auto *OwnDomain = "domain-0";
 
 /** @return Status of a node. */
 auto statusOf(int node, std::uint64_t incarnation, std::uint64_t sequence,
@@ -21,6 +22,8 @@
     NodeStatus status;
     status.peerAddress = "10.0.0." + std::to_string(node) + ":7600";
     status.domain = "domain-" + std::to_string(node % 6);
+    // Ends with the number of the domain.
+    status.entryAddress = "10.0.0." + std::to_string(node) + ":80/" + std::to_string(node % 6);
     status.incarnation = incarnation;
     status.sequence = sequence;
     status.phase = phase;
@@ -68,6 +71,11 @@
     CPPUNIT_TEST(generation_memberRestartedOrDraining_changes);
     CPPUNIT_TEST(coordinators_manyMembers_areTheHighestRanked);
     CPPUNIT_TEST(coordinators_memberLost_areChosenAmongTheOthers);
+    CPPUNIT_TEST(sampleNearby_largeDomain_takesDistantNodesAsAsked);
+    CPPUNIT_TEST(sampleNearby_smallDomain_isFilledWithDistantNodes);
+    CPPUNIT_TEST(listEntryAddresses_callersOfAllDomains_shareAllNodes);
+    CPPUNIT_TEST(listEntryAddresses_askedAtOtherNode_isTheSame);
+    CPPUNIT_TEST(unwatchedDomains_watcherLosesTheStore_areThoseWithout);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -146,7 +154,93 @@
         CPPUNIT_ASSERT_EQUAL(first.at(1), this->members.coordinators(7, 1, lostAt).front());
     }
 
+    auto sampleNearby_largeDomain_takesDistantNodesAsAsked() -> void
+    {
+        this->hearAll(seconds(10));
+        for (std::size_t distantCount = 0; distantCount <= 3; ++distantCount) {
+            const auto sample =
+                this->members.sampleNearby(3, distantCount, this->random, seconds(10));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{3}, sample.size());
+            const auto distant =
+                std::count_if(sample.begin(), sample.end(), [](const Member *member) {
+                    return member->status.domain != OwnDomain;
+                });
+            CPPUNIT_ASSERT_EQUAL(distantCount, static_cast<std::size_t>(distant));
+        }
+    }
+
+    auto sampleNearby_smallDomain_isFilledWithDistantNodes() -> void
+    {
+        for (int node = 0; node < 12; ++node) {
+            this->members.mergeStatus(statusOf(node, 1, 1), seconds(10));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8},
+                             this->members.sampleNearby(8, 0, this->random, seconds(10)).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{12},
+                             this->members.sampleNearby(20, 0, this->random, seconds(10)).size());
+    }
+
+    auto listEntryAddresses_callersOfAllDomains_shareAllNodes() -> void
+    {
+        this->hearAll(seconds(10));
+        std::map<std::string, int> listings;
+        for (int domain = 0; domain < 6; ++domain) {
+            const auto addresses = listEntryAddresses(
+                this->ownStatus(), this->members, "domain-" + std::to_string(domain), seconds(10));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{64}, addresses.size());
+            std::map<char, int> byDomain;
+            for (const auto &address : addresses) {
+                ++listings[address];
+                ++byDomain[address.back()];
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t{6}, byDomain.size()); // No domain is left out.
+        }
+        CPPUNIT_ASSERT(listings.size() > 0.95 * FleetSize);
+        for (const auto &[address, count] : listings) {
+            CPPUNIT_ASSERT(count <= 2);
+        }
+        const auto unknown =
+            listEntryAddresses(this->ownStatus(), this->members, "elsewhere", seconds(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{64}, unknown.size());
+    }
+
+    auto listEntryAddresses_askedAtOtherNode_isTheSame() -> void
+    {
+        this->hearAll(seconds(10));
+        const auto other = statusOf(5, 1, 100);
+        FleetMembers othersMembers{other.peerAddress, {}, seconds(0), other.domain};
+        othersMembers.mergeStatus(this->ownStatus(), seconds(10));
+        for (int node = 0; node < FleetSize; ++node) {
+            if (node != 5) {
+                othersMembers.mergeStatus(statusOf(node, 1, 1), seconds(10));
+            }
+        }
+        CPPUNIT_ASSERT(listEntryAddresses(this->ownStatus(), this->members, "domain-3", seconds(10))
+                       == listEntryAddresses(other, othersMembers, "domain-3", seconds(10)));
+    }
+
+    auto unwatchedDomains_watcherLosesTheStore_areThoseWithout() -> void
+    {
+        this->hearAll(seconds(10));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{6}, this->members.unwatchedDomains(seconds(10)).size());
+        for (int node = 0; node < 6; ++node) {
+            auto status = statusOf(node, 1, 100);
+            status.storeReachable = node != 4;
+            this->members.mergeStatus(status, seconds(10));
+        }
+        CPPUNIT_ASSERT(this->members.unwatchedDomains(seconds(10))
+                       == (std::set<std::string_view>{"domain-4"}));
+    }
+
 private:
+    auto ownStatus() const -> NodeStatus
+    {
+        auto status = statusOf(0, 1, 1);
+        status.peerAddress = this->self;
+        status.entryAddress = "10.1.0.1:80/0";
+        return status;
+    }
+
     auto hearAll(Instant now, int firstNode = 0) -> void
     {
         ++this->sequence;
@@ -161,7 +255,8 @@
     }
 
     std::string self = "10.1.0.1:7600";
-    FleetMembers members{this->self, {}, seconds(0)};
+    FleetMembers members{this->self, {}, seconds(0), OwnDomain};
+    std::mt19937_64 random{1};
     std::uint64_t sequence = 0;
 };
 
--- a/tests/fleet/member_tests.cpp
+++ b/tests/fleet/member_tests.cpp
@@ -123,7 +123,7 @@
         this->members.mergeStatus(statusOf(3, 5, 1), seconds(20));
         this->members.mergeStatus(statusOf(4, 5, 1, Duration(0), NodePhase::Draining), seconds(20));
         const auto addresses =
-            listEntryAddresses(statusOf(1, 1, 1), this->members, milliseconds(20100));
+            listEntryAddresses(statusOf(1, 1, 1), this->members, "odd", milliseconds(20100));
         CPPUNIT_ASSERT(addresses == (std::vector<std::string>{"10.0.0.1:80", "10.0.0.3:80"}));
     }
 
@@ -131,7 +131,7 @@
     {
         this->members.mergeStatus(statusOf(3, 5, 1), seconds(20));
         const auto self = statusOf(1, 1, 1, Duration(0), NodePhase::Draining);
-        CPPUNIT_ASSERT(listEntryAddresses(self, this->members, milliseconds(20100))
+        CPPUNIT_ASSERT(listEntryAddresses(self, this->members, "odd", milliseconds(20100))
                        == (std::vector<std::string>{"10.0.0.3:80"}));
     }
 
