Test: a response that ends inside its head fails

Reported by operators of similar systems: a 200 with an empty body after a server stopped inside its head. It can't happen here: the connection reports nothing before the head is complete, and the end of the connection counts as the end of a body only after it. The test cuts three heads after each of their bytes; it passed on the code as it stood.

--- a/tests/fleet/server_connection_pool_tests.cpp
+++ b/tests/fleet/server_connection_pool_tests.cpp
@@ -151,6 +151,7 @@
     CPPUNIT_TEST(response_ofAnotherAttemptWithoutLength_failsAtItsEnd);
     CPPUNIT_TEST(response_withoutLength_endsWithConnection);
     CPPUNIT_TEST(response_truncated_fails);
+    CPPUNIT_TEST(response_truncatedInsideHead_fails);
     CPPUNIT_TEST(response_invalid_isMalformed);
     CPPUNIT_TEST(response_endlessBytesBeforeBody_isMalformed);
     CPPUNIT_TEST(server_closesWithoutResponse_isNotRetried);
@@ -345,6 +346,25 @@
         CPPUNIT_ASSERT(this->exchange("1").failure == ExchangeFailure::Truncated);
     }
 
+    auto response_truncatedInsideHead_fails() -> void
+    {
+        this->rawServer->closeAfterResponse = true;
+        for (const std::string head : {"HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n\r\n",
+                                       "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n"
+                                       "Content-Length: 0\r\n\r\n",
+                                       "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n"
+                                       "Transfer-Encoding: chunked\r\n\r\n"}) {
+            for (std::size_t length = 0; length < head.size(); ++length) {
+                this->rawServer->requests = 0;
+                this->rawServer->responses = {head.substr(0, length)};
+                const auto result = this->exchange("1");
+                CPPUNIT_ASSERT_MESSAGE(head.substr(0, length), result.failure.has_value());
+                CPPUNIT_ASSERT(!result.ended && result.status == 0 && result.body.empty());
+                CPPUNIT_ASSERT_EQUAL(1, this->rawServer->requests);
+            }
+        }
+    }
+
     auto response_invalid_isMalformed() -> void
     {
         this->rawServer->responses = {"\x01\x02 no answer at all\r\n\r\n"};
