--- a/src/gateway/peer_gossip.cpp
+++ b/src/gateway/peer_gossip.cpp
@@ -292,9 +292,8 @@
     if (doubtful.empty()) {
         return;
     }
-    for (const auto *peer : this->state.members.sampleAlive(1, this->random, now)) {
-        this->requestStatuses(peer->status.peerAddress, std::move(doubtful), now);
-    }
+    const auto peer = this->state.members.sampleAlive(1, this->random, now);
+    this->requestStatuses(peer.front()->status.peerAddress, std::move(doubtful), now);
 }
 
 auto PeerGossip::announcePhase() -> void
