--- a/review/standins.py
+++ b/review/standins.py
@@ -316,6 +316,10 @@
 
 def main(case, directory):
     """Runs a case; exits with 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
+    def stop(*_):
+        raise TimeoutError("ended by SIGTERM")  # So that all processes are ended.
+
+    signal.signal(signal.SIGTERM, stop)
     try:
         code = case(pathlib.Path(directory).resolve())
     except Exception as error:  # pylint: disable=broad-except
