--- a/review/5/case.py
+++ b/review/5/case.py
@@ -12,8 +12,9 @@
 WINDOW_S, OVERSHOOT, SLACK = 8, 0.25, 140000  # Bounds of the sheet.
 RATE_PER_S, BURST = 36000, 36000
 TOKENS = (1000, 200)  # Prompt and output tokens of a request.
-REQUESTS_PER_S = 14  # Of each of the nine nodes: four times the quota.
+REQUESTS_PER_S = 14  # Of each of the nine nodes: 7.5 times the usual, which is 1/1.8 of the quota.
 CHANGES, GAP_S, STEP = 5, 2.0, 0.98
+HOT_S = 11.0  # Longest `hot_tenant` of the site file.
 
 
 def case(directory):
@@ -38,7 +39,7 @@
             for node in deployment.nodes for n in range(1)]
         for client in clients:
             client.start()
-        time.sleep(WINDOW_S + 2)
+        time.sleep(HOT_S - CHANGES * GAP_S)
         rate = RATE_PER_S
         for _ in range(CHANGES):
             if TROUBLE:
@@ -47,7 +48,8 @@
                 deployment.publish()
                 record.write(f"quota of red: {round(rate)} tokens a second, burst {BURST}")
             time.sleep(GAP_S)
-        time.sleep(WINDOW_S)
+        for client in clients:
+            client.running = False
         for client in clients:
             client.finish()
         sent = {a: r[0] for c in clients for a, r in c.results.items()}
@@ -60,7 +62,7 @@
         record.write(f"{len(sent)} requests sent, {len(arrivals)} run; most tokens in {WINDOW_S} s: "
                      f"{most}, bound {bound:.0f}")
         print(f"sent {len(sent)}, run {len(arrivals)}; most tokens in {WINDOW_S} s: {most}, bound {bound:.0f}")
-        if len(sent) < 1000:
+        if len(sent) < 800:
             raise RuntimeError("too few requests were sent")
         return BROKEN if most > bound else HELD
 
