Store watch: take over as soon as no changes of the store arrive

Cause: a killed, suspended or cut off watcher is missed by gossip only, after 2 s, or 4 s with 300 nodes; a watcher whose request to the store hangs fails after 2.7 s. Change: watchers send what servers write about twice a second. If no change arrives for 1.1 s, or twice the usual interval, the next nodes by rank take over, at most seven in a failure domain, and keep watching for 5 s. store_silent_fewNodesTryIt bounds the calls while the store is away with 350 nodes; server_onlyOneWrites_hasNoFurtherWatchers rules out flapping in small installations.

--- a/include/banyanring/gateway/store_mirror_sync.h
+++ b/include/banyanring/gateway/store_mirror_sync.h
@@ -68,6 +68,7 @@
     auto beginNewEra(std::string_view source, Instant now) -> bool;
     auto progress() const -> fleet::MirrorCatchUp::Progress;
     auto updateReachability(Instant now) -> void;
+    auto notePeerPositions(Instant now) -> void;
     auto catchUpFromPeers(Instant now) -> void;
     auto fetchMirror(const std::string &peer) -> void;
     auto handleMirrorResponse(const std::string &peer, const HttpResult &result) -> void;
@@ -83,6 +84,7 @@
     fleet::MirrorCatchUp catchUp;
     HttpClient peerClient;
     std::mt19937_64 random;
+    fleet::StorePosition newestPeerPosition; ///< Newest one that a peer has reported.
     fleet::StorePosition broadcastPosition; ///< Up to which changes have been sent to peers.
     bool watching = false; ///< This node is elected to watch the store.
     bool storeReachableByFleet = false; ///< This node or an alive peer reaches the store.
--- a/tests/fleet/watch_tests.cpp
+++ b/tests/fleet/watch_tests.cpp
@@ -20,6 +20,12 @@
     CPPUNIT_TEST(fleet_starts_hasOneWatcherPerDomain);
     CPPUNIT_TEST(fleet_twoDomains_hasTwoWatchersInEach);
     CPPUNIT_TEST(watchers_allCrash_othersTakeOverWithinThreeSeconds);
+    CPPUNIT_TEST(watchers_allKilled_changesArriveWithinDrainTime);
+    CPPUNIT_TEST(watchers_allKilledInALargeFleet_changesArriveWithinDrainTime);
+    CPPUNIT_TEST(watchers_allCutFromTheStore_changesArriveWithinDrainTime);
+    CPPUNIT_TEST(watchers_replacedAfterSilence_oneRemainsPerDomain);
+    CPPUNIT_TEST(server_onlyOneWrites_hasNoFurtherWatchers);
+    CPPUNIT_TEST(store_silent_fewNodesTryIt);
     CPPUNIT_TEST(watchers_rejectedByTheStore_othersTakeOver);
     CPPUNIT_TEST(store_unreachable_fewRetryAndOnePerDomainRemains);
     CPPUNIT_TEST(watchers_ofFormerEra_othersWatchTheirOwn);
@@ -52,16 +58,55 @@
                 status.watchesStore = from->watching;
                 status.storeEra = from->era;
                 status.storeReachable = from->watching && this->storeUp && !from->rejected;
+                // A request that gets no response fails after a while.
+                status.storeReachable |= from->watching && this->now < from->cutNoticedAt;
                 for (const auto &to : this->nodes) {
                     to->members.mergeStatus(status, this->now);
                 }
             }
+            this->sendChanges();
             for (const auto &node : this->nodes) {
                 node->watching = node->election.update(node->members, node->era, this->now);
             }
         }
     }
 
+    /** Watchers that read the store send what servers have written to all nodes. */
+    auto sendChanges() -> void
+    {
+        if (this->now - this->writtenAt >= this->writeInterval) {
+            this->writtenAt = this->now;
+        }
+        for (const auto &from : this->nodes) {
+            const bool reads = from->watching && this->storeUp && !from->rejected
+                               && this->now >= from->cutNoticedAt;
+            if (!reads || this->now - from->changesSentAt < WatchPause
+                || this->writtenAt <= from->changesSentAt) {
+                continue;
+            }
+            from->changesSentAt = this->now;
+            this->lastChangesAt = this->now;
+            for (const auto &to : this->nodes) {
+                to->election.noteChanges(this->now);
+            }
+        }
+    }
+
+    /** @return Time until a watcher sends changes again. */
+    auto timeWithoutChanges() -> Duration
+    {
+        const auto since = this->now;
+        while (this->lastChangesAt < since && this->now - since < seconds(10)) {
+            this->run(milliseconds(100));
+        }
+        return this->lastChangesAt - since;
+    }
+
+    auto killWatchers() -> void
+    {
+        std::erase_if(this->nodes, [](const auto &node) { return node->watching; });
+    }
+
     auto watchers() const -> std::size_t
     {
         return static_cast<std::size_t>(
@@ -106,6 +151,67 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{4}, this->watchers());
     }
 
+    /** A removed server gets no requests after DrainTime, whoever had been watching the store. */
+    auto watchers_allKilled_changesArriveWithinDrainTime() -> void
+    {
+        this->start(9, 3);
+        this->run(seconds(5));
+        this->killWatchers();
+        CPPUNIT_ASSERT(this->timeWithoutChanges() < DrainTime);
+    }
+
+    auto watchers_allKilledInALargeFleet_changesArriveWithinDrainTime() -> void
+    {
+        this->start(350, 4);
+        this->run(seconds(5));
+        this->killWatchers();
+        CPPUNIT_ASSERT(this->timeWithoutChanges() < DrainTime);
+    }
+
+    auto watchers_allCutFromTheStore_changesArriveWithinDrainTime() -> void
+    {
+        this->start(9, 3);
+        this->run(seconds(5));
+        for (const auto &node : this->nodes) {
+            node->cutNoticedAt = node->watching ? this->now + milliseconds(2700) : Instant{};
+            node->rejected = node->watching;
+        }
+        CPPUNIT_ASSERT(this->timeWithoutChanges() < DrainTime);
+    }
+
+    auto watchers_replacedAfterSilence_oneRemainsPerDomain() -> void
+    {
+        this->start(350, 4);
+        this->run(seconds(5));
+        this->killWatchers();
+        this->run(seconds(15));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, this->watchers());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, this->domainsWatched());
+    }
+
+    auto server_onlyOneWrites_hasNoFurtherWatchers() -> void
+    {
+        this->writeInterval = milliseconds(1800);
+        this->start(87, 4);
+        this->run(seconds(12)); // The first interval is not known before.
+        for (int second = 0; second < 20; ++second) {
+            this->run(seconds(1));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{4}, this->watchers());
+        }
+    }
+
+    auto store_silent_fewNodesTryIt() -> void
+    {
+        this->start(350, 4);
+        this->run(seconds(5));
+        for (const auto &node : this->nodes) {
+            node->cutNoticedAt = this->now + milliseconds(2700);
+        }
+        this->storeUp = false;
+        this->run(milliseconds(2700));
+        CPPUNIT_ASSERT(this->watchers() <= 4 * 7);
+    }
+
     auto watchers_rejectedByTheStore_othersTakeOver() -> void
     {
         this->start(87, 4);
@@ -169,13 +275,21 @@
         StoreWatchElection election;
         bool watching = false;
         bool rejected = false; ///< The store rejects its calls.
+        Instant cutNoticedAt{}; ///< Until then it waits for a response that will not come.
+        Instant changesSentAt{};
         std::uint64_t era = 0; ///< Era of the store that it has reached.
     };
 
     std::vector<std::unique_ptr<Node>> nodes;
+    static constexpr Duration DrainTime = seconds(2);
+    static constexpr Duration WatchPause = milliseconds(500); ///< Of a watcher between requests.
+
     Instant now = seconds(100);
     std::uint64_t sequence = 0;
     bool storeUp = true;
+    Duration writeInterval = milliseconds(100); ///< Between the writes of all servers.
+    Instant writtenAt{};
+    Instant lastChangesAt{};
 };
 
 /** Batches of changes that watchers send to other nodes. */
