Store contact: no grace for removed servers when only the watchers are gone

Cause: nodes had one word, reachable, for a store that does not answer and for one that nobody known to be alive watches. Both earned the grace for entries that expired during an outage. Evidence: the log of a calm node has store_in_contact false without any failed request, then server_entry_gone with grace_ms 2200. Change: reached, unwatched and lost are told apart (log store_contact); lost takes a failed request, and only then the grace applies. A watcher without a result yet says so in its status. While nobody watches, nothing about the store is concluded.

--- a/include/banyanring/fleet/peer_state_type.h
+++ b/include/banyanring/fleet/peer_state_type.h
@@ -34,12 +34,20 @@
     bool storeReachable = false; ///< The node watches the store and reached it recently.
     Duration age{}; ///< Time since it was issued, summed over the hops.
     std::uint64_t storeEra = 0; ///< Era of storeRevision.
+    /** The node has begun to watch and no request has succeeded or failed yet. */
+    bool storeUntried = false;
 
     /** @return Position of the store that the node's mirror has reached. */
     auto storePosition() const -> StorePosition
     {
         return {this->storeEra, this->storeRevision};
     }
+
+    /** @return Whether the node watches the store and its last request failed. */
+    auto failsToReachStore() const -> bool
+    {
+        return this->watchesStore && !this->storeReachable && !this->storeUntried;
+    }
 };
 
 /**
--- a/include/banyanring/gateway/store_mirror_sync.h
+++ b/include/banyanring/gateway/store_mirror_sync.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "banyanring/fleet/mirror_catch_up.h"
+#include "banyanring/fleet/store_contact.h"
 #include "banyanring/fleet/store_watch_election.h"
 #include "banyanring/gateway/http_client.h"
 #include "banyanring/gateway/peer_socket.h"
@@ -67,7 +68,7 @@
     auto sendToUnwatchedDomains(std::string_view bytes) -> void;
     auto beginNewEra(std::string_view source, Instant now) -> bool;
     auto progress() const -> fleet::MirrorCatchUp::Progress;
-    auto updateReachability(Instant now) -> void;
+    auto updateStoreContact(Instant now) -> void;
     auto notePeerPositions(Instant now) -> void;
     auto catchUpFromPeers(Instant now) -> void;
     auto fetchMirror(const std::string &peer) -> void;
@@ -87,7 +88,7 @@
     fleet::StorePosition newestPeerPosition; ///< Newest one that a peer has reported.
     fleet::StorePosition broadcastPosition; ///< Up to which changes have been sent to peers.
     bool watching = false; ///< This node is elected to watch the store.
-    bool storeReachableByFleet = false; ///< This node or an alive peer reaches the store.
+    fleet::StoreContact storeContact = fleet::StoreContact::Unwatched;
 };
 
 } // namespace banyanring::gateway
--- a/src/fleet/fleet_members.cpp
+++ b/src/fleet/fleet_members.cpp
@@ -45,7 +45,8 @@
 
 auto statusStamp(const NodeStatus &status) -> std::uint16_t
 {
-    const auto access = (status.watchesStore ? 1ULL : 0ULL) | (status.storeReachable ? 2ULL : 0ULL);
+    const auto access = (status.watchesStore ? 1ULL : 0ULL) | (status.storeReachable ? 2ULL : 0ULL)
+                        | (status.storeUntried ? 16ULL : 0ULL);
     const auto phase = static_cast<std::uint64_t>(status.phase);
     return static_cast<std::uint16_t>(
         mix64(mix64(status.incarnation) ^ (status.storeEra << 8U) ^ (phase << 2U) ^ access));
--- a/src/gateway/gossip_codec.cpp
+++ b/src/gateway/gossip_codec.cpp
@@ -19,7 +19,7 @@
 
 using StatusTuple =
     std::tuple<std::string, std::string, std::string, std::uint64_t, std::uint64_t, std::uint8_t,
-               std::uint64_t, std::uint64_t, bool, bool, std::int64_t, std::uint64_t>;
+               std::uint64_t, std::uint64_t, bool, bool, std::int64_t, std::uint64_t, bool>;
 using LoadTuple = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>;
 using LatencyTuple = std::tuple<std::uint32_t, float, float, float>;
 using UsageTuple = std::tuple<std::uint32_t, double, double, double, double, double, double>;
@@ -46,7 +46,8 @@
     return {status.peerAddress,    status.entryAddress,  status.domain,
             status.incarnation,    status.sequence,      static_cast<std::uint8_t>(status.phase),
             status.configVersion,  status.storeRevision, status.watchesStore,
-            status.storeReachable, status.age.count(),   status.storeEra};
+            status.storeReachable, status.age.count(),   status.storeEra,
+            status.storeUntried};
 }
 
 /** @return The node status of a received tuple; a negative age counts as zero. */
@@ -57,7 +58,8 @@
     std::int64_t age = 0;
     std::tie(status.peerAddress, status.entryAddress, status.domain, status.incarnation,
              status.sequence, phase, status.configVersion, status.storeRevision,
-             status.watchesStore, status.storeReachable, age, status.storeEra) = tuple;
+             status.watchesStore, status.storeReachable, age, status.storeEra,
+             status.storeUntried) = tuple;
     status.phase = static_cast<fleet::NodePhase>(phase);
     status.age = Duration(std::max<std::int64_t>(0, age));
     return status;
--- a/src/gateway/store_mirror_sync.cpp
+++ b/src/gateway/store_mirror_sync.cpp
@@ -59,7 +59,7 @@
                  {{"why", reason},
                   {"store_era", static_cast<std::int64_t>(this->mirror.era())},
                   {"store_revision", static_cast<std::int64_t>(this->mirror.revision())}});
-        this->updateReachability(bootClockNow());
+        this->updateStoreContact(bootClockNow());
     };
     return callbacks;
 }
@@ -75,7 +75,7 @@
         logEvent("store_watch",
                  {{"watching", shouldWatch}, {"members", static_cast<std::int64_t>(members)}});
     }
-    this->updateReachability(now);
+    this->updateStoreContact(now);
     this->updateApplier.tick(now);
     this->catchUpFromPeers(now);
     const bool shouldRead = shouldWatch || this->catchUp.shouldReadStore(this->progress(), now);
@@ -103,18 +103,17 @@
     return {this->mirror.position(), config ? config->version : 0, this->loaded()};
 }
 
-auto StoreMirrorSync::updateReachability(Instant now) -> void
+auto StoreMirrorSync::updateStoreContact(Instant now) -> void
 {
-    bool reachable = this->storeReader.reachable();
-    for (const auto *member : this->state.members.aliveMembers(now)) {
-        reachable = reachable || member->status.storeReachable;
-    }
-    if (reachable != this->storeReachableByFleet) {
-        this->storeReachableByFleet = reachable;
-        this->updateApplier.setStoreReachable(reachable, now);
-        logEvent("store_in_contact",
-                 {{"in_contact", reachable}, {"own", this->storeReader.reachable()}});
+    const fleet::StoreAccess own{this->storeReader.reachable(), this->storeReader.failing()};
+    const auto contact = fleet::findStoreContact(own, this->state.members, now);
+    if (contact == this->storeContact) {
+        return;
     }
+    this->storeContact = contact;
+    this->updateApplier.setStoreContact(contact, now);
+    logEvent("store_contact",
+             {{"contact", std::string(fleet::storeContactName(contact))}, {"own", own.reachable}});
 }
 
 auto StoreMirrorSync::beginNewEra(std::string_view source, Instant now) -> bool
@@ -281,6 +280,8 @@
     status.storeRevision = this->mirror.revision();
     status.storeReachable = this->watching && this->storeReader.reachable();
     status.watchesStore = this->watching;
+    status.storeUntried =
+        this->watching && !this->storeReader.reachable() && !this->storeReader.failing();
 }
 
 } // namespace banyanring::gateway
--- a/tests/fleet/restored_domain_tests.cpp
+++ b/tests/fleet/restored_domain_tests.cpp
@@ -113,10 +113,10 @@
     {
         this->put(DomainKey, "");
         this->restore({});
-        this->applier->setStoreReachable(false, this->now);
+        this->applier->setStoreContact(fleet::StoreContact::Lost, this->now);
         this->advance(seconds(20));
         CPPUNIT_ASSERT(this->isOut());
-        this->applier->setStoreReachable(true, this->now);
+        this->applier->setStoreContact(fleet::StoreContact::Reached, this->now);
         this->advance(seconds(5));
         CPPUNIT_ASSERT(this->isOut());
         this->advance(seconds(6));
--- a/tests/fleet/restored_server_tests.cpp
+++ b/tests/fleet/restored_server_tests.cpp
@@ -169,10 +169,10 @@
         this->writeServer("a", 1, "ready");
         this->restore({});
         this->advance(seconds(1));
-        this->applier->setStoreReachable(false, this->now);
+        this->applier->setStoreContact(fleet::StoreContact::Lost, this->now);
         this->advance(seconds(5));
         CPPUNIT_ASSERT(this->isUsable("a"));
-        this->applier->setStoreReachable(true, this->now);
+        this->applier->setStoreContact(fleet::StoreContact::Reached, this->now);
         this->restore({});
         this->advance(seconds(2));
         CPPUNIT_ASSERT(this->isUsable("a"));
@@ -187,10 +187,10 @@
         auto copy = this->contents;
         copy.erase("servers/b");
         this->writeServer("a", 2, "draining");
-        this->applier->setStoreReachable(false, this->now);
+        this->applier->setStoreContact(fleet::StoreContact::Lost, this->now);
         this->restore(copy);
         this->advance(seconds(1));
-        this->applier->setStoreReachable(true, this->now);
+        this->applier->setStoreContact(fleet::StoreContact::Reached, this->now);
         this->advance(milliseconds(500));
         CPPUNIT_ASSERT(!this->isUsable("a"));
         CPPUNIT_ASSERT(this->isUsable("b"));
--- a/tests/fleet/restored_store_fixture.h
+++ b/tests/fleet/restored_store_fixture.h
@@ -17,6 +17,7 @@
     {
         this->state = std::make_unique<gateway::NodeState>(this->settings, this->now);
         this->applier = std::make_unique<platform::StoreUpdateApplier>(this->mirror, *this->state);
+        this->applier->setStoreContact(fleet::StoreContact::Reached, this->now);
     }
 
 protected:
--- a/tests/fleet/restored_store_simulation_tests.cpp
+++ b/tests/fleet/restored_store_simulation_tests.cpp
@@ -154,7 +154,7 @@
         this->downUntil = this->now + this->upTo(seconds(2));
         this->contents = this->copies.at(this->random() % this->copies.size());
         this->restorePending = true;
-        this->applier->setStoreReachable(false, this->now);
+        this->applier->setStoreContact(fleet::StoreContact::Lost, this->now);
         for (auto &[id, server] : this->servers) {
             this->lastWrite[id] = this->downUntil;
             server.writesAt = this->downUntil + this->upTo(RewriteTime);
@@ -180,7 +180,7 @@
         }
         const auto changed = this->replaceMirror(std::move(items));
         if (std::exchange(this->restorePending, false)) {
-            this->applier->setStoreReachable(true, this->now);
+            this->applier->setStoreContact(fleet::StoreContact::Reached, this->now);
             this->applier->beginEra(this->now);
             this->eraBegunAt = this->now;
         }
