Quota: usage outlives a change of the limit

Cause: QuotaLimiter::updateLimit forgot the usage of all nodes whenever a limit fell, so each step started an empty window although the former limit still binds. Ruled out as needed: nodes that learn of a change at different moments, lost totals; one limiter without peers shows the fault. Change: usage stays. The window is held to the mean of the limits that were in force during it, what is used after a change to the highest limit since. A first limit, or one in another unit, still starts a new window.

--- a/include/banyanring/fleet/quota_limiter.h
+++ b/include/banyanring/fleet/quota_limiter.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "banyanring/fleet/fleet_config_type.h"
+#include "banyanring/fleet/limit_history.h"
 #include "banyanring/fleet/peer_state_type.h"
 #include "banyanring/fleet/process_settings_type.h"
 #include "banyanring/fleet/sliding_window_counter.h"
@@ -87,11 +88,13 @@
     auto retryAfter(const OrganisationConfig &organisation, double units, Instant now) -> Duration;
 
     /**
-     * Updates the limit of an organisation that has already sent requests. A lower limit starts a
-     * new window, because usage under the higher limit was allowed.
+     * Updates the limit of an organisation that has already sent requests. What was used stays
+     * used; a lower limit takes effect as the window moves past the change. A first limit, or one
+     * in another unit, starts a new window.
      * @param organisation The organisation with the limit in force.
+     * @param now Current time.
      */
-    auto updateLimit(const OrganisationConfig &organisation) -> void;
+    auto updateLimit(const OrganisationConfig &organisation, Instant now) -> void;
 
     /**
      * Merges a peer's usage since its last report.
@@ -167,7 +170,9 @@
         SlidingWindowCounter demand; ///< Recent demand at this node, admitted or not.
         bool beforeStartReported = false; ///< A peer has reported the usage before the start.
         double ownTotalUnits = 0; ///< Admitted by this node since its start.
-        double windowLimit = 0; ///< Limit of a window in units, without tolerance.
+        bool wasUnlimited = false; ///< No limit was in force at its last request.
+        bool countsTokens = false; ///< Unit of the limit, as opposed to requests.
+        LimitHistory limits; ///< Limits of a window, without tolerance.
         std::map<std::uint32_t, ReceivedTotal> totals; ///< By coordinator.
     };
 
@@ -181,21 +186,15 @@
         Instant reportedAt{}; ///< Time of its last report.
     };
 
-    /** Usage by all nodes that counts against this node's fraction of the limit. */
-    struct UsageSums
-    {
-        double window = 0; ///< In the whole window.
-        double newerHalf = 0; ///< In the newer half of the window.
-    };
-
     auto usageOf(std::uint32_t organisation) -> Usage &;
+    auto startNewWindow(std::uint32_t organisation, Usage &usage) -> void;
     auto recentlyStarted(Instant now) const -> bool
     {
         return now - this->startedAt < this->bounds.quotaWindow;
     }
     auto windowLimit(const OrganisationConfig &organisation) const -> double;
-    auto usableLimit(const OrganisationConfig &organisation, Usage &usage, double reachableFraction,
-                     Instant now) const -> double;
+    auto usableLimit(const OrganisationConfig &organisation, double limit, Usage &usage,
+                     double reachableFraction, Instant now) const -> double;
     auto totalAge(const Usage &usage, Instant now) const -> std::optional<Duration>;
     auto peerUsage(std::uint32_t organisation, std::uint64_t except, double reachableFraction,
                    Instant now) -> UsageSums;
@@ -209,6 +208,7 @@
     Instant startedAt;
     /** Time within which gossip of each peer arrives; this value until the fleet size is known. */
     Duration propagationDelay = std::chrono::milliseconds(500);
+    double lastReachableFraction = 1; ///< At the last request.
     std::set<std::uint64_t> alivePeers; ///< Incarnations of the peers that are alive.
     std::unordered_map<std::uint32_t, Usage> usages;
     /** By organisation, then by incarnation of the peer. */
--- a/src/fleet/quota_limiter.cpp
+++ b/src/fleet/quota_limiter.cpp
@@ -5,6 +5,7 @@
 #include "banyanring/fleet/quota_limiter.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace banyanring::fleet {
 
@@ -66,8 +67,15 @@
 {
     const SlidingWindowCounter empty(this->bounds.quotaWindow);
     return this->usages
-        .try_emplace(organisation,
-                     Usage{empty, empty, SlidingWindowCounter(DemandWindow), false, 0, 0, {}})
+        .try_emplace(organisation, Usage{empty,
+                                         empty,
+                                         SlidingWindowCounter(DemandWindow),
+                                         false,
+                                         0,
+                                         false,
+                                         false,
+                                         LimitHistory(this->bounds.quotaWindow),
+                                         {}})
         .first->second;
 }
 
@@ -87,10 +95,9 @@
     return age;
 }
 
-auto QuotaLimiter::usableLimit(const OrganisationConfig &organisation, Usage &usage,
+auto QuotaLimiter::usableLimit(const OrganisationConfig &organisation, double limit, Usage &usage,
                                double reachableFraction, Instant now) const -> double
 {
-    const double limit = this->windowLimit(organisation);
     const double limitShare = reachableFraction < HalfFraction
                                   ? reachableFraction
                                   : std::min(1.0, reachableFraction + LargerSideExtra);
@@ -182,7 +189,18 @@
     return peers + usage.demand.sum(now) / this->demandSeconds(now);
 }
 
-auto QuotaLimiter::updateLimit(const OrganisationConfig &organisation) -> void
+auto QuotaLimiter::startNewWindow(std::uint32_t organisation, Usage &usage) -> void
+{
+    usage.own.clear();
+    usage.beforeStart.clear();
+    usage.totals.clear();
+    usage.limits.clear();
+    for (auto &[incarnation, peer] : this->peerUsages[organisation]) {
+        peer.window.clear();
+    }
+}
+
+auto QuotaLimiter::updateLimit(const OrganisationConfig &organisation, Instant now) -> void
 {
     const auto id = hashName(organisation.name);
     const auto found = this->usages.find(id);
@@ -190,19 +208,20 @@
         return;
     }
     auto &usage = found->second;
-    const double limit = this->windowLimit(organisation);
-    if (limit < usage.windowLimit) {
-        usage.own.clear();
-        usage.beforeStart.clear();
-        usage.totals.clear();
-        for (auto &[incarnation, peer] : this->peerUsages[id]) {
-            peer.window.clear();
-        }
+    if (organisation.ratePerSecond <= 0) {
+        usage.wasUnlimited = true;
+        return;
     }
-    if (usage.windowLimit == 0 && !usage.beforeStartReported) {
+    const double limit = this->windowLimit(organisation);
+    const bool isOtherUnit =
+        usage.limits.isSet() && usage.countsTokens != organisation.countsTokens;
+    if (std::exchange(usage.wasUnlimited, false) || isOtherUnit) {
+        this->startNewWindow(id, usage);
+    } else if (!usage.limits.isSet() && !usage.beforeStartReported) {
         usage.beforeStart.addEvenly(AssumedUsedFraction * limit, this->startedAt);
     }
-    usage.windowLimit = limit;
+    usage.countsTokens = organisation.countsTokens;
+    usage.limits.set(limit, this->fleetUsage(id, usage, this->lastReachableFraction, now), now);
 }
 
 auto QuotaLimiter::nearLimit(const OrganisationConfig &organisation, double units,
@@ -213,12 +232,17 @@
     }
     const auto id = hashName(organisation.name);
     auto &usage = this->usageOf(id);
-    this->updateLimit(organisation);
-    const auto fleet = this->fleetUsage(id, usage, reachableFraction, now);
-    const double limit = this->windowLimit(organisation) * reachableFraction;
+    this->lastReachableFraction = reachableFraction;
+    this->updateLimit(organisation, now);
     const double expected = units + this->demand(id, usage, now) * secondsOf(NearLimitTime);
-    return !this->totalAge(usage, now) || fleet.window + expected > limit
-           || fleet.newerHalf + expected > HalfWindowFraction * limit;
+    const auto fleet = this->fleetUsage(id, usage, reachableFraction, now);
+    const auto held = usage.limits.heldUsages(fleet, now);
+    return !this->totalAge(usage, now)
+           || std::any_of(held.begin(), held.end(), [&](const HeldUsage &item) {
+                  const double limit = item.limit * reachableFraction;
+                  return item.used.window + expected > limit
+                         || item.used.newerHalf + expected > HalfWindowFraction * limit;
+              });
 }
 
 auto QuotaLimiter::admit(const OrganisationConfig &organisation, double units,
@@ -228,16 +252,21 @@
     const auto id = hashName(organisation.name);
     auto &usage = this->usageOf(id);
     usage.demand.add(units, now);
+    this->lastReachableFraction = reachableFraction;
+    this->updateLimit(organisation, now);
     if (organisation.ratePerSecond > 0) {
-        this->updateLimit(organisation);
         const auto fleet = this->fleetUsage(id, usage, reachableFraction, now);
-        decision.usableUnits = this->usableLimit(organisation, usage, reachableFraction, now);
-        decision.usedUnits = fleet.window;
         decision.totalAge = this->totalAge(usage, now).value_or(Duration(-1));
-        decision.admitted = fleet.window + units <= decision.usableUnits
-                            && fleet.newerHalf + units <= HalfWindowFraction * decision.usableUnits;
-        if (!decision.admitted) {
-            return decision;
+        for (const auto &held : usage.limits.heldUsages(fleet, now)) {
+            decision.usableUnits =
+                this->usableLimit(organisation, held.limit, usage, reachableFraction, now);
+            decision.usedUnits = held.used.window;
+            decision.admitted =
+                held.used.window + units <= decision.usableUnits
+                && held.used.newerHalf + units <= HalfWindowFraction * decision.usableUnits;
+            if (!decision.admitted) {
+                return decision;
+            }
         }
     }
     usage.own.add(units, now);
