Responses: reserve no memory for the declared length

Cause: the parser's string_body reserves the declared length, and the parser applies its body limit to chunked and close-delimited responses but not to the declared length of a response. Change: a body type that reserves nothing, and a check of the declared length. Store and peers are read through the same connection. Requests are not affected: the parser checks their length first. Test: response_declaresEnormousBody_isMalformed fails before with std::bad_alloc.

--- a/include/banyanring/gateway/outbound_connection.h
+++ b/include/banyanring/gateway/outbound_connection.h
@@ -2,12 +2,12 @@
 #pragma once
 
 #include "banyanring/core/ids_type.h"
+#include "banyanring/gateway/response_body_type.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <boost/container/static_vector.hpp>
 #include <memory>
 #include <optional>
@@ -92,7 +92,7 @@
     boost::container::static_vector<std::uint32_t, 16> recentAttempts;
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::response_parser<ResponseBody>;
 
     auto startRead() -> void;
     auto startWrite() -> void;
--- a/src/gateway/outbound_connection.cpp
+++ b/src/gateway/outbound_connection.cpp
@@ -168,6 +168,11 @@
                 continue;
             }
             this->headerReceived = true;
+            // The parser applies its limit to the other ways of framing only.
+            if (this->parser->content_length().value_or(0) > MaxBodyBytes) {
+                this->fail(ConnectionFailure::Malformed);
+                return;
+            }
             this->observer->onHeader(this->parser->get());
         }
         if (this->awaitingResponse && this->headerReceived && !this->parser->get().body().empty()) {
--- a/tests/fleet/server_connection_pool_tests.cpp
+++ b/tests/fleet/server_connection_pool_tests.cpp
@@ -154,6 +154,7 @@
     CPPUNIT_TEST(response_truncatedInsideHead_fails);
     CPPUNIT_TEST(response_invalid_isMalformed);
     CPPUNIT_TEST(response_endlessBytesBeforeBody_isMalformed);
+    CPPUNIT_TEST(response_declaresEnormousBody_isMalformed);
     CPPUNIT_TEST(server_closesWithoutResponse_isNotRetried);
     CPPUNIT_TEST(server_unreachable_reportsNotSent);
     CPPUNIT_TEST_SUITE_END();
@@ -371,6 +372,16 @@
         CPPUNIT_ASSERT(this->exchange("1").failure == ExchangeFailure::Malformed);
     }
 
+    /** Memory was reserved for the declared length, which ended the process. */
+    auto response_declaresEnormousBody_isMalformed() -> void
+    {
+        for (const auto *length : {"99999999999999", "68719476736", "9223372036854775000"}) {
+            this->rawServer->responses = {"HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nContent-Length: "
+                                          + std::string(length) + "\r\n\r\nxxxx"};
+            CPPUNIT_ASSERT(this->exchange("1").failure == ExchangeFailure::Malformed);
+        }
+    }
+
     auto response_endlessBytesBeforeBody_isMalformed() -> void
     {
         // The operating system buffers some megabytes between the two ends.
