Responses: bound the memory that they occupy by that of the node

Seen: one node, six servers whose close-delimited bodies don't end, 96 callers, 8 s: the node takes 71 MB (57 MB with 16 callers) where it else needs 9; others measured 88 to 126 MB, with three nodes. The smallest VMs have 88 MB, and a process beyond its memory is killed with all its requests. Cause: buffers counted the bytes of a body, 24 MB in all, but strings that grow by doubling hold up to twice of that, and three times while they move; the allocator kept what was released; the bound was the same for all nodes. The client of the store and of peers kept up to 256 MB. Change: bodies are kept in blocks, counted by what they hold, in all at most a quarter of the node's memory (24 MB if it is unknown); the longest response is ended with 502, as before. A response that declares more than 8 MB ends at its header. Blocks from 128 KB go back to the system when released. Responses of store and peers end at 8 MB.

--- a/include/banyanring/fleet/process_settings_type.h
+++ b/include/banyanring/fleet/process_settings_type.h
@@ -61,6 +61,7 @@
     Endpoint metrics; ///< Metrics and state dump for operators.
     std::vector<std::string> seeds; ///< IPs of a few nodes; may be out of date.
     Endpoint store; ///< The platform's key-value store.
+    std::size_t memoryBytes = 0; ///< Memory of the process; 0 if unknown.
     FleetBounds bounds; ///< Fleet-wide bounds.
 };
 
--- a/include/banyanring/gateway/active_request.h
+++ b/include/banyanring/gateway/active_request.h
@@ -90,10 +90,10 @@
         }
     }
 
-    /** @return Bytes of the response that are buffered. */
+    /** @return Memory of the buffered response. */
     auto bufferedBytes() const -> std::size_t
     {
-        return this->body.size();
+        return this->body.heldBytes();
     }
 
     /** Ends the exchange, because the response takes too much memory. */
@@ -157,6 +157,7 @@
     auto tryTakeRetry() -> bool;
     auto retry(std::string_view reason) -> void;
     auto retryWait() const -> Duration;
+    auto isStream() const -> bool;
     auto forwardEvents(std::string_view data) -> void;
     auto updateBackpressure() -> void;
     auto deliverResponse() -> void;
--- a/include/banyanring/gateway/http_client.h
+++ b/include/banyanring/gateway/http_client.h
@@ -14,7 +14,8 @@
 {
     int status = 0; ///< HTTP status; 0 if no complete response arrived.
     std::string body; ///< Complete response body.
-    std::string failure; ///< "timeout", "not_connected" or "broken"; empty if a response arrived.
+    std::string failure; ///< "timeout", "not_connected", "broken" or "too_long"; empty if a
+                         ///< response arrived.
     boost::beast::http::fields headers{}; ///< Response headers; empty if no response arrived.
 };
 
--- a/include/banyanring/gateway/request_type.h
+++ b/include/banyanring/gateway/request_type.h
@@ -56,6 +56,7 @@
     /** Time for which the server accepts no requests from this node (status 503). */
     std::optional<Duration> retryAfter;
     bool leaving = false; ///< The server is about to stop and wants no new requests.
+    std::uint64_t declaredLength = 0; ///< Length of the body; 0 if the header does not say.
     std::vector<HeaderField> headers; ///< Headers to forward to the caller.
 };
 
--- a/include/banyanring/gateway/response_buffer.h
+++ b/include/banyanring/gateway/response_buffer.h
@@ -3,15 +3,18 @@
 
 #include <string>
 #include <string_view>
-#include <utility>
+#include <vector>
 
 namespace banyanring::gateway {
 
-/** Body of one response; counts its bytes in the total of all responses of the node. */
+/**
+ * Body of one response, in blocks, so that it never has to be moved as it grows. Counts the memory
+ * that it holds in the total of all responses of the node.
+ */
 class ResponseBuffer
 {
 public:
-    /** @param totalBytes Bytes in all buffers of the node; must outlive this object. */
+    /** @param totalBytes Memory of all buffers of the node; must outlive this object. */
     explicit ResponseBuffer(std::size_t &totalBytes) : totalBytes(totalBytes) {}
     ~ResponseBuffer()
     {
@@ -21,37 +24,38 @@
     auto operator=(const ResponseBuffer &) -> ResponseBuffer & = delete;
 
     /** @param data Next bytes of the body. */
-    auto append(std::string_view data) -> void
-    {
-        this->bytes.append(data);
-        this->totalBytes += data.size();
-    }
+    auto append(std::string_view data) -> void;
 
     /** @return The body; the buffer is empty afterwards. */
-    auto take() -> std::string
-    {
-        this->totalBytes -= this->bytes.size();
-        return std::exchange(this->bytes, std::string());
-    }
+    auto take() -> std::string;
 
     /** Drops the bytes and releases their memory. */
-    auto clear() -> void
-    {
-        this->take();
-    }
+    auto clear() -> void;
 
     /** @return Number of bytes. */
     auto size() const -> std::size_t
     {
-        return this->bytes.size();
+        return this->bodySize;
+    }
+
+    /** @return Memory that the bytes occupy. */
+    auto heldBytes() const -> std::size_t
+    {
+        return this->held;
     }
 
     static constexpr std::size_t MaxBytes = 8U << 20U; ///< Longer bodies are not delivered.
-    /** Bytes in all buffers of a node; its memory has to suffice for everything else as well. */
-    static constexpr std::size_t MaxTotalBytes = 24U << 20U;
+    /** Memory of all buffers of a node whose memory is unknown. */
+    static constexpr std::size_t DefaultTotalBytes = 24U << 20U;
+    /** Fraction of a node's memory for all buffers; the rest has to suffice for everything else. */
+    static constexpr std::size_t MemoryFraction = 4;
 
 private:
-    std::string bytes;
+    auto lastBlock() -> std::string &;
+
+    std::vector<std::string> blocks; ///< All but the last one are full.
+    std::size_t bodySize = 0;
+    std::size_t held = 0; ///< Capacity of the blocks.
     std::size_t &totalBytes;
 };
 
--- a/include/banyanring/gateway/scheduler.h
+++ b/include/banyanring/gateway/scheduler.h
@@ -108,6 +108,12 @@
         this->slotPort = &port;
     }
 
+    /**
+     * Sets the memory of the node, a fraction of which responses may occupy.
+     * @param bytes Memory; 0 if unknown.
+     */
+    auto setNodeMemory(std::size_t bytes) -> void;
+
     /**
      * Handles the reply to a slot request.
      * @param reply The reply.
@@ -226,7 +232,8 @@
     std::uint64_t nextNumber = 1;
     bool rejecting = false;
     bool placing = false;
-    std::size_t bufferedBytes = 0; ///< Bytes of responses that are buffered.
+    std::size_t bufferedBytes = 0; ///< Memory of responses that are buffered.
+    std::size_t maxBufferedBytes; ///< Upper limit of that.
     std::unordered_map<std::uint64_t, std::unique_ptr<ActiveRequest>> requests;
     std::unordered_map<std::string, fleet::ServiceQueue> queues; ///< Own requests, by service.
     std::unordered_map<std::string, double> outputTokenAverages; ///< By route prefix.
--- a/src/gateway/active_request_exchange.cpp
+++ b/src/gateway/active_request_exchange.cpp
@@ -154,14 +154,22 @@
                                       {"cold_ms", std::int64_t{coldFor / milliseconds(1)}}});
     }
     this->recordServerStatements();
+    if (!this->isStream() && header.declaredLength > ResponseBuffer::MaxBytes) {
+        this->onResponseTooLong();
+    }
+}
+
+auto ActiveRequest::isStream() const -> bool
+{
+    return this->route->streaming && this->response.sealed
+           && this->response.status / StatusClassSize == SuccessStatusClass;
 }
 
 auto ActiveRequest::onResponseData(std::string_view data) -> void
 {
     this->silentFor = Duration(0);
     this->server->lastDataAt = this->scheduler.clock();
-    const bool success = this->response.status / StatusClassSize == SuccessStatusClass;
-    if (this->route->streaming && success && this->response.sealed) {
+    if (this->isStream()) {
         this->forwardEvents(data);
         return;
     }
@@ -221,8 +229,7 @@
 {
     if (this->response.notExecuted) {
         this->handleServerRejection();
-    } else if (this->route->streaming && this->response.sealed
-               && this->response.status / StatusClassSize == SuccessStatusClass) {
+    } else if (this->isStream()) {
         if (!this->eventParser.atEventBoundary() || this->eventParser.eventCount() == 0) {
             this->handleServerFailure("cut_event");
         } else {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -89,6 +89,7 @@
                          {"domain", this->settings.domain},
                          {"incarnation", std::to_string(this->incarnation)}});
     this->awaitSignals();
+    this->scheduler.setNodeMemory(this->settings.memoryBytes);
     this->scheduler.setQuotaPort(this->quotaCoordination);
     this->scheduler.setSlotPort(this->slotCoordination);
     this->gossip.sendRound();
--- a/src/gateway/http_client.cpp
+++ b/src/gateway/http_client.cpp
@@ -3,6 +3,13 @@
 
 namespace banyanring::gateway {
 
+namespace {
+
+/** Several times the largest page of the store and the largest mirror of a peer. */
+constexpr std::size_t MaxBodyBytes = 8U << 20U;
+
+} // namespace
+
 HttpClient::HttpClient(boost::asio::io_context &context) : context(context), timer(context) {}
 
 HttpClient::~HttpClient()
@@ -62,6 +69,11 @@
 
 auto HttpClient::onBody(std::string data) -> void
 {
+    if (this->result.body.size() + data.size() > MaxBodyBytes) {
+        this->connection->close();
+        this->finish({0, "", "too_long"});
+        return;
+    }
     this->result.body.append(data);
 }
 
--- a/src/gateway/main.cpp
+++ b/src/gateway/main.cpp
@@ -7,12 +7,15 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <malloc.h>
 
 namespace {
 
 constexpr int ExitUsage = 2; ///< The settings file is missing or malformed.
 constexpr int ExitFailure = 1; ///< Any other error.
 constexpr std::int64_t InfoLinesPerSecond = 20; ///< Bounds the cost of logging under load.
+/** Larger blocks go back to the system once released. By default the largest one raises this. */
+constexpr int MinReturnedBlockBytes = 128 << 10;
 
 } // namespace
 
@@ -25,6 +28,7 @@
         return ExitUsage;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    mallopt(M_MMAP_THRESHOLD, MinReturnedBlockBytes);
     try {
         const auto readSettings = [file = std::string(path)] {
             return banyanring::platform::parseSettings(
--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -27,7 +27,8 @@
 Scheduler::Scheduler(NodeState &state, ServerPort &serverPort, std::function<Instant()> clock,
                      std::uint64_t seed)
     : state(state), serverPort(serverPort), clock(std::move(clock)), random(seed),
-      nodeHash(static_cast<std::uint32_t>(mix64(seed)))
+      nodeHash(static_cast<std::uint32_t>(mix64(seed))),
+      maxBufferedBytes(ResponseBuffer::DefaultTotalBytes)
 {
 }
 
@@ -259,9 +260,15 @@
     return std::max(queue.expectedWait(ahead), this->deferralTime(service));
 }
 
+auto Scheduler::setNodeMemory(std::size_t bytes) -> void
+{
+    this->maxBufferedBytes =
+        bytes > 0 ? bytes / ResponseBuffer::MemoryFraction : ResponseBuffer::DefaultTotalBytes;
+}
+
 auto Scheduler::limitBufferedBytes() -> void
 {
-    if (this->bufferedBytes <= ResponseBuffer::MaxTotalBytes) {
+    if (this->bufferedBytes <= this->maxBufferedBytes) {
         return;
     }
     const auto longest = std::max_element(
--- a/tests/fleet/endless_response_tests.cpp
+++ b/tests/fleet/endless_response_tests.cpp
@@ -13,6 +13,9 @@
     CPPUNIT_TEST_SUITE(EndlessResponseFixture);
     CPPUNIT_TEST(body_withoutEnd_isCutAndGets502);
     CPPUNIT_TEST(body_withoutEndInRetry_isCutAgain);
+    CPPUNIT_TEST(body_declaredTooLong_isCutAtItsHeader);
+    CPPUNIT_TEST(body_growing_holdsLittleMoreThanItsBytes);
+    CPPUNIT_TEST(bodies_exceedTheirFractionOfASmallNode_longestIsCut);
     CPPUNIT_TEST(bodies_exceedTheTotal_longestIsCut);
     CPPUNIT_TEST(bodies_exceedTheTotalAfterDisconnect_endedRequestIsNotCut);
     CPPUNIT_TEST(bodies_exceedTheTotalDuringRetry_queuedRequestIsNotCut);
@@ -38,6 +41,48 @@
         CPPUNIT_ASSERT_EQUAL(502, caller->response.status);
     }
 
+    auto body_declaredTooLong_isCutAtItsHeader() -> void
+    {
+        const auto caller = this->submit(this->request("/order/1"));
+        auto response = header(200);
+        response.declaredLength = ResponseBuffer::MaxBytes + 1;
+        this->lastDispatch().observer->onResponseHeader(response);
+        CPPUNIT_ASSERT(this->lastDispatch().cancelled);
+        CPPUNIT_ASSERT_EQUAL(502, caller->response.status);
+    }
+
+    /** Strings that doubled as they grew held several times what had been counted. */
+    auto body_growing_holdsLittleMoreThanItsBytes() -> void
+    {
+        std::size_t total = 0;
+        ResponseBuffer buffer(total);
+        std::string expected;
+        while (expected.size() < ResponseBuffer::MaxBytes) {
+            const std::string data(BlockBytes - 7, static_cast<char>('a' + expected.size() % 26));
+            buffer.append(data);
+            expected += data;
+            CPPUNIT_ASSERT(buffer.heldBytes() <= buffer.size() + MaxUnusedBytes);
+            CPPUNIT_ASSERT_EQUAL(buffer.heldBytes(), total);
+        }
+        CPPUNIT_ASSERT(buffer.take() == expected);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, total);
+        buffer.append("small");
+        CPPUNIT_ASSERT(buffer.heldBytes() < 64);
+        CPPUNIT_ASSERT_EQUAL(std::string("small"), buffer.take());
+    }
+
+    auto bodies_exceedTheirFractionOfASmallNode_longestIsCut() -> void
+    {
+        this->scheduler->setNodeMemory(16U << 20U);
+        const auto callers = this->submitAll("/order/1");
+        this->sendBody(0, 200, 1U << 20U);
+        this->sendBody(1, 200, 2U << 20U);
+        this->sendBody(2, 200, 2U << 20U);
+        CPPUNIT_ASSERT_EQUAL(1, callers[1]->finalResponses + callers[2]->finalResponses);
+        this->servers.dispatches[0]->observer->onResponseEnd();
+        CPPUNIT_ASSERT_EQUAL(200, callers[0]->response.status);
+    }
+
     auto bodies_exceedTheTotal_longestIsCut() -> void
     {
         std::vector<std::shared_ptr<FakeCaller>> callers;
@@ -105,6 +150,7 @@
 private:
     static constexpr std::size_t BlockBytes = 16384;
     static constexpr std::size_t MaxBytesSent = ResponseBuffer::MaxBytes + BlockBytes;
+    static constexpr std::size_t MaxUnusedBytes = 256U << 10U;
     static constexpr std::size_t EventStreamLimit = 65536 + BlockBytes;
     static constexpr std::size_t EndlessBytes = 64U << 20U; ///< More than any bound.
 
--- a/tests/fleet/server_connection_pool_tests.cpp
+++ b/tests/fleet/server_connection_pool_tests.cpp
@@ -3,6 +3,8 @@
  * loopback.
  */
 #include "banyanring/gateway/server_connection_pool.h"
+
+#include "banyanring/gateway/http_client.h"
 #include "loopback.h"
 
 #include <boost/asio/read_until.hpp>
@@ -155,6 +157,7 @@
     CPPUNIT_TEST(response_invalid_isMalformed);
     CPPUNIT_TEST(response_endlessBytesBeforeBody_isMalformed);
     CPPUNIT_TEST(response_declaresEnormousBody_isMalformed);
+    CPPUNIT_TEST(clientResponse_endlessBody_isTooLong);
     CPPUNIT_TEST(server_closesWithoutResponse_isNotRetried);
     CPPUNIT_TEST(server_unreachable_reportsNotSent);
     CPPUNIT_TEST_SUITE_END();
@@ -382,6 +385,21 @@
         }
     }
 
+    /** The client of the store and of peers kept up to 256 MB. */
+    auto clientResponse_endlessBody_isTooLong() -> void
+    {
+        constexpr std::size_t MaxSentBytes = 32U << 20U;
+        this->rawServer->responses = {"HTTP/1.1 200 OK\r\n\r\n"};
+        this->rawServer->endlessBytes = std::string(65536, 'x');
+        HttpClient client(this->context);
+        std::optional<HttpResult> result;
+        client.get(this->rawServer->address(), "/", std::chrono::seconds(4),
+                   [&result](HttpResult newResult) { result = std::move(newResult); });
+        CPPUNIT_ASSERT(runUntil(this->context, [&result] { return result.has_value(); }));
+        CPPUNIT_ASSERT_EQUAL(std::string("too_long"), result->failure);
+        CPPUNIT_ASSERT(this->rawServer->endlessBytesSent < MaxSentBytes);
+    }
+
     auto response_endlessBytesBeforeBody_isMalformed() -> void
     {
         // The operating system buffers some megabytes between the two ends.
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -251,6 +251,8 @@
                  f"port_range={self.range_start},{self.range_start + PORT_RANGE - 1}", "bounds.grace_s=8",
                  f"platform.address=127.0.0.1:{self.fleet.store.port}"]
         lines += [f"listen.{name}=127.0.0.1:{port}" for name, port in self.ports.items()]
+        if self.fleet.memory_mb is not None:
+            lines.append(f"limits.memory_mb={self.fleet.memory_mb}")
         self.settings.write_text("\n".join(lines) + "\n")
         self.process = subprocess.Popen(
             [DAEMON], stdout=open(self.log, "ab"), stderr=subprocess.STDOUT,
@@ -287,10 +289,10 @@
 class Fleet:
     """A store, backend servers and nodes; to be used in a `with` block, which ends all of them."""
 
-    def __init__(self, nodes=3, start=True, page_size=500):
+    def __init__(self, nodes=3, start=True, page_size=500, memory_mb=None):
         self.temporary = tempfile.TemporaryDirectory()
         self.directory = pathlib.Path(self.temporary.name)
-        self.store, self.version = Store(page_size), 0
+        self.store, self.version, self.memory_mb = Store(page_size), 0, memory_mb
         self.keys, self.limits, self.quota = ["key-1"], {}, {}
         self.route_changes = {}  # Fields to change, by the name of the route.
         self.publish()
