Responses: leave a server alone whose bodies don't end

Seen: each retry and each new request went at once to a server that had sent a body without end, 500 to 1,000 times a second and 8 MB each, so that reading and dropping them took a core. Cause: such a response counted as one failure of the server. Ejection needs a server that is worse than its peers, and spares two thirds of a service. Change: the second body in a row that is cut because of its length defers the server at this node for 0.5 s, then twice as long each time up to 8 s; a success ends it. It uses the deferral that servers ask for with Retry-After, so slot requests leave such servers out, and callers of a service without another server get 503 with Retry-After. One long body among others changes nothing. Tests: server_secondBodyWithoutEnd_getsNothingForAWhile fails without the deferral; server_oneLongBodyAmongOthers_isNotDeferred.

--- a/include/banyanring/fleet/server_registry.h
+++ b/include/banyanring/fleet/server_registry.h
@@ -88,7 +88,8 @@
     Instant silentSince{}; ///< Start of the last silence that made a request leave the server.
     ServerStats stats; ///< Response times and failure rate.
     RequestLimit requestLimit; ///< Limit that the server names, on the requests of all nodes.
-    Instant deferredUntil{}; ///< It asked this node to send nothing until then.
+    Instant deferredUntil{}; ///< It gets nothing from this node until then.
+    std::uint32_t overlongBodies = 0; ///< Bodies that were cut since its last success.
     bool leaving = false; ///< It announced that it is about to stop; holds until it restarts.
     bool coordinatedHere = false; ///< This node coordinates its slots for the whole fleet.
     std::size_t maxIdleConnections = 4; ///< Idle connections that this node may keep open.
@@ -184,6 +185,15 @@
      */
     static auto markLeaving(Server &server) -> bool;
 
+    /**
+     * Records that a server's body was cut because of its length. One may be due to its request; a
+     * server that goes on like that gets nothing for a while, twice as long each time.
+     * @param server The server.
+     * @param now Current time.
+     * @return Time for which it gets nothing from this node; zero if it goes on.
+     */
+    static auto deferAfterOverlongBody(Server &server, Instant now) -> Duration;
+
     /**
      * Records that a request left a server that sent it nothing. A healthy server may be silent for
      * a moment, so only a longer silence counts as a failure.
--- a/src/fleet/server_registry.cpp
+++ b/src/fleet/server_registry.cpp
@@ -31,6 +31,8 @@
 constexpr Duration EjectionTime = milliseconds(3000); ///< After this the server is used again.
 /** At most one in this many servers of a service is ejected. */
 constexpr std::size_t ServersPerEjection = 3;
+constexpr Duration FirstOverlongDeferral = milliseconds(500);
+constexpr std::uint32_t MaxOverlongRepetitions = 5; ///< Limits the deferral to eight seconds.
 /** A registration that only the store lost is back within seconds of the store's return. */
 constexpr Duration RemovedServerLifetime = std::chrono::seconds(60);
 
@@ -211,6 +213,17 @@
     return true;
 }
 
+auto ServerRegistry::deferAfterOverlongBody(Server &server, Instant now) -> Duration
+{
+    const auto repetitions = std::min(server.overlongBodies++, MaxOverlongRepetitions);
+    if (repetitions == 0) {
+        return Duration(0);
+    }
+    const Duration wait = FirstOverlongDeferral * (1U << (repetitions - 1));
+    server.deferredUntil = std::max(server.deferredUntil, now + wait);
+    return wait;
+}
+
 auto ServerRegistry::recordSilence(Server &server, Instant since, Instant now) -> bool
 {
     if (server.silentSince == Instant(0) || server.lastDataAt > server.silentSince) {
@@ -224,6 +237,9 @@
     if (outcome == AttemptOutcome::Neutral) {
         return false;
     }
+    if (outcome == AttemptOutcome::Succeeded) {
+        server.overlongBodies = 0;
+    }
     auto &stats = server.stats;
     const double failed = outcome == AttemptOutcome::Failed ? 1 : 0;
     stats.sampleCount = stats.sampleCount * SampleDecay + 1;
--- a/src/gateway/active_request_exchange.cpp
+++ b/src/gateway/active_request_exchange.cpp
@@ -183,6 +183,14 @@
 
 auto ActiveRequest::onResponseTooLong() -> void
 {
+    const auto wait =
+        fleet::ServerRegistry::deferAfterOverlongBody(*this->server, this->scheduler.clock());
+    if (wait > Duration(0)) {
+        logEvent("server_deferred", {{"server", this->server->registration.id},
+                                     {"request_id", this->request.attemptId},
+                                     {"reason", "body_too_long"},
+                                     {"wait_ms", std::int64_t{wait / milliseconds(1)}}});
+    }
     this->handleServerFailure("body_too_long");
     this->scheduler.placeDirtyServices();
 }
--- a/src/gateway/active_request_statements.cpp
+++ b/src/gateway/active_request_statements.cpp
@@ -32,6 +32,7 @@
                 "server_deferred",
                 {{"server", server.registration.id},
                  {"request_id", this->request.attemptId},
+                 {"reason", "retry_after"},
                  {"wait_ms", std::int64_t{*header.retryAfter / std::chrono::milliseconds(1)}}});
         }
     }
--- a/tests/fleet/endless_response_tests.cpp
+++ b/tests/fleet/endless_response_tests.cpp
@@ -14,6 +14,8 @@
     CPPUNIT_TEST(body_withoutEnd_isCutAndGets502);
     CPPUNIT_TEST(body_withoutEndInRetry_isCutAgain);
     CPPUNIT_TEST(body_declaredTooLong_isCutAtItsHeader);
+    CPPUNIT_TEST(server_secondBodyWithoutEnd_getsNothingForAWhile);
+    CPPUNIT_TEST(server_oneLongBodyAmongOthers_isNotDeferred);
     CPPUNIT_TEST(body_growing_holdsLittleMoreThanItsBytes);
     CPPUNIT_TEST(bodies_exceedTheirFractionOfASmallNode_longestIsCut);
     CPPUNIT_TEST(bodies_exceedTheTotal_longestIsCut);
@@ -51,6 +53,38 @@
         CPPUNIT_ASSERT_EQUAL(502, caller->response.status);
     }
 
+    /** Each retry and each new request went to such a server at once. */
+    auto server_secondBodyWithoutEnd_getsNothingForAWhile() -> void
+    {
+        for (const auto *id : {"p1", "p1", "p2", "p2"}) {
+            this->deferOthers(id);
+            this->submit(this->request("/order/1"));
+            CPPUNIT_ASSERT_EQUAL(std::string(id), this->lastDispatch().server);
+            this->sendUntilCut(this->lastDispatch(), 200);
+        }
+        this->state->servers.find("p1")->deferredUntil = this->now + milliseconds(500);
+        const auto dispatches = this->servers.dispatches.size();
+        const auto caller = this->submit(this->request("/order/1"));
+        CPPUNIT_ASSERT_EQUAL(dispatches, this->servers.dispatches.size());
+        CPPUNIT_ASSERT(caller->finalResponses == 0 || caller->response.status == 503);
+        this->pass(milliseconds(600));
+        this->submit(this->request("/order/1"));
+        CPPUNIT_ASSERT(this->servers.dispatches.size() > dispatches);
+    }
+
+    auto server_oneLongBodyAmongOthers_isNotDeferred() -> void
+    {
+        this->deferOthers("p1");
+        for (int round = 0; round < 4; ++round) {
+            this->submit(this->request("/order/1"));
+            this->sendUntilCut(this->lastDispatch(), 200);
+            const auto caller = this->submit(this->request("/order/1"));
+            CPPUNIT_ASSERT_EQUAL(std::string("p1"), this->lastDispatch().server);
+            reply(this->lastDispatch(), 200);
+            CPPUNIT_ASSERT_EQUAL(200, caller->response.status);
+        }
+    }
+
     /** Strings that doubled as they grew held several times what had been counted. */
     auto body_growing_holdsLittleMoreThanItsBytes() -> void
     {
@@ -165,6 +199,15 @@
         return callers;
     }
 
+    /** Lets a server of the plain service be the only one that gets requests. */
+    auto deferOthers(const std::string &id) -> void
+    {
+        for (const auto &server : this->state->servers.serversOf("desk")) {
+            server->deferredUntil =
+                server->registration.id == id ? Instant{} : this->now + seconds(60);
+        }
+    }
+
     auto sendBody(std::size_t dispatch, int status, std::size_t size) -> void
     {
         auto &observer = *this->servers.dispatches[dispatch]->observer;
