Silent servers: keep the exchange until the next server has taken the request

Cause: a request cancelled its exchange with the silent server first. All nodes did so at once, chose the same free servers by their own state, and a rejection without a retry token ended the stream. A rejection, an error or a failed connection ends the move; a server that speaks meanwhile is kept. Slots for moves come from the coordinators.

--- a/include/banyanring/gateway/active_request.h
+++ b/include/banyanring/gateway/active_request.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "banyanring/gateway/event_stream_parser.h"
+#include "banyanring/gateway/move_attempt.h"
 #include "banyanring/gateway/response_buffer.h"
 #include "banyanring/gateway/scheduler.h"
 
@@ -60,8 +61,11 @@
      */
     auto onSlotReply(const fleet::SlotReply &reply) -> void;
 
-    /** Handles the timeout of the slot request: places the request by this node's state. */
-    auto onSlotTimeout() -> void;
+    /**
+     * Handles the timeout of a slot request: places the request by this node's state.
+     * @param id Id of the slot request.
+     */
+    auto onSlotTimeout(std::uint64_t id) -> void;
 
     /** @return Whether a slot request is pending. */
     auto isSlotPending() const -> bool
@@ -71,10 +75,27 @@
     /** @return Whether the given slot request is pending. */
     auto isSlotPending(std::uint64_t id) const -> bool
     {
-        return this->slotRequestPending && this->slotRequestId == id;
+        return this->moveRequestId == id || (this->slotRequestPending && this->slotRequestId == id);
+    }
+    /** Appends the slots that this request holds. */
+    auto appendHeldSlots(std::vector<fleet::HeldSlot> &slots) const -> void;
+
+    /**
+     * Handles the first response to a move: takes the new exchange over if the server runs the
+     * request, and otherwise keeps the former one.
+     * @param header Header of the response.
+     * @return Whether the exchange was taken over.
+     */
+    auto takeMove(const ServerResponse &header) -> bool;
+
+    /** Handles the failure of a move; the former exchange goes on. */
+    auto onMoveFailed(ExchangeFailure failure) -> void;
+
+    /** @return Current time. */
+    auto currentTime() const -> Instant
+    {
+        return this->scheduler.clock();
     }
-    /** @return The slot that this request holds, if any. */
-    auto heldSlot() const -> std::optional<fleet::HeldSlot>;
 
     /** @return Number of the request that a slot request belongs to. */
     static auto numberOfSlotRequest(std::uint64_t id) -> std::uint64_t
@@ -135,7 +156,8 @@
     auto chooseService() -> void;
     auto enqueue(const fleet::WaitBudget &budget) -> void;
     auto enqueueRetry(Duration maxWait) -> void;
-    auto assignSlotRequestId() -> void;
+    auto nextSlotRequestId() -> std::uint64_t;
+    auto makeSlotRequest(std::uint64_t id, Instant now) -> fleet::SlotRequest;
     auto requestSlot() -> bool;
     auto renewSlotRequest() -> bool;
     auto renewExpiredExclusions(Instant now) -> void;
@@ -152,6 +174,8 @@
     auto endExchange(fleet::AttemptOutcome outcome) -> void;
     auto recordResponseStats() -> void;
     auto recordServerStatements() -> void;
+    auto recordUnreachable(fleet::Server &unreachable) -> void;
+    auto recordRejection(fleet::Server &rejecting, const ServerResponse &header) -> void;
     auto handleServerRejection() -> void;
     auto handleServerFailure(std::string_view reason) -> void;
     auto tryTakeRetry() -> bool;
@@ -171,12 +195,25 @@
     auto blockedSuspect() const -> std::string;
     auto tryStartTrial() -> bool;
     auto rejectCrashSuspect() -> bool;
-    auto recordLostRun(std::string_view reason) -> void;
+    auto recordLostRun(const fleet::Server &lost, Instant runSince, bool answering,
+                       std::string_view reason) -> void;
     auto hasAnswered(Instant now) const -> bool;
     auto recordAnswer(Instant answeredAt) -> void;
     auto measureSilence(Instant now) -> void;
     auto isServerSilent() const -> bool;
     auto leaveSilentServer() -> void;
+    auto requestMove(Instant now) -> bool;
+    auto onMoveReply(const fleet::SlotReply &reply) -> void;
+    auto moveByOwnState() -> void;
+    auto startMove(const fleet::ServerPtr &newServer, std::uint64_t slotId) -> void;
+    auto currentMove() const -> MoveAttempt *;
+    auto adoptMove() -> void;
+    auto endMove(fleet::AttemptOutcome outcome, fleet::SlotEvent event) -> void;
+    auto cancelMove() -> void;
+    auto endSilentExchange() -> void;
+    auto checkMove(Instant now) -> void;
+    auto beginExchange(Instant now) -> void;
+    auto encodeDispatch(const fleet::Server &newServer, Instant now) const -> std::string;
     auto callerTimeout() const -> Duration;
     auto retryAfter(Duration wait) const -> Duration;
     auto serviceConfig() const -> const fleet::ServiceConfig *;
@@ -209,6 +246,11 @@
     Instant responseAt{}; ///< First byte of the response of the current exchange.
     Duration silentFor{}; ///< Time without data from the server while it was being read.
     Instant checkedAt{}; ///< Last check of the timeouts.
+    std::vector<std::unique_ptr<MoveAttempt>> moves; ///< Moves away from silent servers.
+    /** Pending slot request for a move away from a silent server; 0 for none. */
+    std::uint64_t moveRequestId = 0;
+    std::uint32_t moveRequests = 0; ///< Slot requests made for such moves.
+    Instant nextMoveAt{}; ///< Earliest time of the next one.
     bool leftSilentServer = false; ///< It was moved away from a server that may be healthy.
     std::optional<Instant> answerBeganAt; ///< First event of the current exchange.
     bool answerRecorded = false; ///< The server has survived the start of the answer.
@@ -231,6 +273,7 @@
     Instant queueDeadline{}; ///< Time at which it is rejected if still queued.
     /** Id of the last slot request, or of a slot taken without one. */
     std::uint64_t slotRequestId = 0;
+    std::uint64_t lastSlotRequestId = 0; ///< Highest id of its slot requests.
     bool slotRequestPending = false; ///< A slot request is pending.
     std::uint32_t slotRenewals = 0; ///< Slot requests repeated with other excluded servers.
     Instant exclusionsEndAt = Never; ///< A server that the slot request excludes can be used then.
--- a/src/gateway/active_request.cpp
+++ b/src/gateway/active_request.cpp
@@ -245,12 +245,13 @@
 
 auto ActiveRequest::enqueue(const fleet::WaitBudget &budget) -> void
 {
+    this->cancelMove();
     this->body.clear(); // A queued request has no exchange that limitBufferedBytes() could end.
     auto &queue = this->scheduler.queueOf(this->service);
     const auto organisationId = this->organisation ? hashName(this->organisation->name) : 0;
     this->latencyDeadline = budget.latencyDeadline;
     this->queueDeadline = std::min(budget.queueDeadline, this->deadline);
-    this->assignSlotRequestId();
+    this->slotRequestId = this->nextSlotRequestId();
     this->queued = true;
     queue.waiting.push({this->number, this->priority(), organisationId, this->estimatedCost(),
                         this->latencyDeadline, this->queueDeadline});
@@ -340,6 +341,7 @@
         this->updateBackpressure();
     }
     this->measureSilence(now);
+    this->checkMove(now);
     if (this->isServerSilent()) {
         this->leaveSilentServer();
     }
@@ -382,6 +384,7 @@
 {
     const auto now = this->scheduler.clock();
     this->ended = true;
+    this->cancelMove();
     this->body.clear();
     if (std::exchange(this->slotRequestPending, false)) {
         this->scheduler.slotPort->cancelSlotRequest(this->slotRequestId);
--- a/src/gateway/active_request_exchange.cpp
+++ b/src/gateway/active_request_exchange.cpp
@@ -103,6 +103,14 @@
     if (newServer->isCold(now)) {
         state.coldLimiter.recordRequest(newServer->hash, now);
     }
+    this->beginExchange(now);
+    this->exchange = this->scheduler.serverPort.send(newServer, this->request.attemptId,
+                                                     this->encodeDispatch(*newServer, now),
+                                                     this->route->isRetryable(), *this);
+}
+
+auto ActiveRequest::beginExchange(Instant now) -> void
+{
     this->headerReceived = false;
     this->readPaused = false;
     this->response = {};
@@ -113,16 +121,18 @@
     this->silentFor = Duration(0);
     this->answerBeganAt.reset();
     this->answerRecorded = false;
+}
+
+auto ActiveRequest::encodeDispatch(const fleet::Server &newServer, Instant now) const -> std::string
+{
     platform::DispatchHeaders headers;
-    headers.server = newServer->registration.id;
+    headers.server = newServer.registration.id;
     if (this->organisation != nullptr) {
         headers.organisation = this->organisation->name;
     }
     headers.timeLeft = this->deadline - now;
     headers.lastEventId = this->eventParser.lastEventId();
-    this->exchange = this->scheduler.serverPort.send(
-        newServer, this->request.attemptId, platform::encodeDispatch(this->request, headers),
-        this->route->isRetryable(), *this);
+    return platform::encodeDispatch(this->request, headers);
 }
 
 auto ActiveRequest::onSent() -> void
@@ -133,6 +143,7 @@
 
 auto ActiveRequest::onResponseHeader(const ServerResponse &header) -> void
 {
+    this->cancelMove(); // The server speaks.
     const auto now = this->scheduler.clock();
     this->headerReceived = true;
     this->response = header;
@@ -167,6 +178,7 @@
 
 auto ActiveRequest::onResponseData(std::string_view data) -> void
 {
+    this->cancelMove();
     this->silentFor = Duration(0);
     this->server->lastDataAt = this->scheduler.clock();
     if (this->isStream()) {
@@ -299,12 +311,7 @@
 {
     if (failure == ExchangeFailure::NotSent) {
         const auto id = this->server->registration.id;
-        if (fleet::ServerRegistry::markUnreachable(*this->server, this->scheduler.clock())) {
-            logEvent("server_unreachable",
-                     {{"server", id},
-                      {"request_id", this->request.attemptId},
-                      {"avoid_ms", std::int64_t{this->server->backoff / milliseconds(1)}}});
-        }
+        this->recordUnreachable(*this->server);
         this->slotEventOverride = fleet::SlotEvent::Unreachable;
         this->endExchange(fleet::AttemptOutcome::Neutral);
         if (++this->failedConnects >= MaxFailedConnects) {
@@ -322,19 +329,35 @@
     this->scheduler.placeDirtyServices();
 }
 
+auto ActiveRequest::recordUnreachable(fleet::Server &unreachable) -> void
+{
+    if (fleet::ServerRegistry::markUnreachable(unreachable, this->scheduler.clock())) {
+        logEvent("server_unreachable",
+                 {{"server", unreachable.registration.id},
+                  {"request_id", this->request.attemptId},
+                  {"avoid_ms", std::int64_t{unreachable.backoff / milliseconds(1)}}});
+    }
+}
+
+auto ActiveRequest::recordRejection(fleet::Server &rejecting, const ServerResponse &header) -> void
+{
+    const auto now = this->scheduler.clock();
+    if (header.misdirected) {
+        rejecting.backoffUntil = now + MisdirectedBackoff;
+        return;
+    }
+    rejecting.reportedOtherRequests =
+        std::max(rejecting.reportedOtherRequests, rejecting.registration.slots);
+    rejecting.reportedAt = now;
+}
+
 auto ActiveRequest::handleServerRejection() -> void
 {
     const auto now = this->scheduler.clock();
     auto &server = *this->server;
     const auto id = server.registration.id;
     const bool hasSpareSlots = 2 * server.occupiedSlots(now) < server.registration.slots;
-    if (this->response.misdirected) {
-        server.backoffUntil = now + MisdirectedBackoff;
-    } else {
-        server.reportedOtherRequests =
-            std::max(server.reportedOtherRequests, server.registration.slots);
-        server.reportedAt = now;
-    }
+    this->recordRejection(server, this->response);
     this->slotEventOverride = fleet::SlotEvent::Rejected;
     this->endExchange(hasSpareSlots && !this->response.retryAfter ? fleet::AttemptOutcome::Failed
                                                                   : fleet::AttemptOutcome::Neutral);
@@ -357,11 +380,15 @@
     ++this->possibleExecutions;
     // A stream without framing ends as if complete when its server crashes.
     if (reason == "no_answer" || reason == "truncated" || reason == "cut_event") {
-        this->recordLostRun(reason);
+        this->recordLostRun(*this->server, this->sentAt, this->hasAnswered(now), reason);
     }
     this->body.clear();
     this->endExchange(fleet::AttemptOutcome::Failed);
     this->addStep("server_failed", id + " " + std::string(reason));
+    if (this->currentMove() != nullptr) {
+        this->adoptMove();
+        return;
+    }
     if (this->tryTakeRetry()) {
         this->retry(reason);
         return;
--- a/src/gateway/active_request_silence.cpp
+++ b/src/gateway/active_request_silence.cpp
@@ -40,27 +40,4 @@
     return this->silentFor > std::max(MinSilence, std::chrono::duration_cast<Duration>(limit));
 }
 
-auto ActiveRequest::leaveSilentServer() -> void
-{
-    const auto now = this->scheduler.clock();
-    const auto choice = this->chooseLocally(false);
-    // The server may go on, so it is only left for one that takes the request at once.
-    if (!choice.server || !this->tryTakeRetry()) {
-        return;
-    }
-    this->mayHaveExecuted = true;
-    ++this->possibleExecutions;
-    this->leftSilentServer = true;
-    this->body.clear();
-    const bool failing =
-        fleet::ServerRegistry::recordSilence(*this->server, now - this->silentFor, now);
-    this->endExchange(failing ? fleet::AttemptOutcome::Failed : fleet::AttemptOutcome::Neutral);
-    this->addStep(this->streamStarted ? "resumed" : "retried",
-                  this->server->registration.id + " silent");
-    this->scheduler.metrics.countEvent(this->streamStarted ? "resumed" : "retried");
-    this->scheduler.metrics.countEvent("left_silent_server");
-    ++this->slotRequestId;
-    this->dispatchLocally(choice.server);
-}
-
 } // namespace banyanring::gateway
--- a/src/gateway/active_request_slots.cpp
+++ b/src/gateway/active_request_slots.cpp
@@ -10,22 +10,16 @@
 
 } // namespace
 
-auto ActiveRequest::assignSlotRequestId() -> void
+auto ActiveRequest::nextSlotRequestId() -> std::uint64_t
 {
-    this->slotRequestId = std::max(this->slotRequestId, this->number * MaxSlotRequests) + 1;
+    this->lastSlotRequestId = std::max(this->lastSlotRequestId, this->number * MaxSlotRequests) + 1;
+    return this->lastSlotRequestId;
 }
 
-auto ActiveRequest::requestSlot() -> bool
+auto ActiveRequest::makeSlotRequest(std::uint64_t id, Instant now) -> fleet::SlotRequest
 {
-    if (this->scheduler.slotPort == nullptr) {
-        return false;
-    }
-    if (this->rejectCrashSuspect() || this->placeLocally(true)) {
-        return true;
-    }
-    const auto now = this->scheduler.clock();
     fleet::SlotRequest slotRequest;
-    slotRequest.id = this->slotRequestId;
+    slotRequest.id = id;
     slotRequest.profile = this->profile;
     slotRequest.profile.nodeHash = 0;
     slotRequest.tier = this->priority();
@@ -34,8 +28,20 @@
     slotRequest.latencyBudget = this->latencyDeadline - now;
     slotRequest.queueTimeout = this->queueDeadline - now;
     slotRequest.excludedServers = this->excludedServers(now);
+    return slotRequest;
+}
+
+auto ActiveRequest::requestSlot() -> bool
+{
+    if (this->scheduler.slotPort == nullptr) {
+        return false;
+    }
+    if (this->rejectCrashSuspect() || this->placeLocally(true)) {
+        return true;
+    }
     this->slotRequestPending = true;
-    const auto reply = this->scheduler.slotPort->requestSlot(std::move(slotRequest), this->service);
+    const auto reply = this->scheduler.slotPort->requestSlot(
+        this->makeSlotRequest(this->slotRequestId, this->scheduler.clock()), this->service);
     if (reply && reply->outcome == fleet::SlotOutcome::NotCoordinator) {
         this->slotRequestPending = false;
         return false;
@@ -52,7 +58,7 @@
         return false;
     }
     ++this->slotRenewals;
-    this->assignSlotRequestId();
+    this->slotRequestId = this->nextSlotRequestId();
     return this->requestSlot();
 }
 
@@ -101,6 +107,10 @@
 
 auto ActiveRequest::onSlotReply(const fleet::SlotReply &reply) -> void
 {
+    if (reply.requestId == this->moveRequestId) {
+        this->onMoveReply(reply);
+        return;
+    }
     if (reply.outcome == fleet::SlotOutcome::Queued) {
         this->handleQueuedReply(reply.expectedWait);
         return;
@@ -146,8 +156,14 @@
     }
 }
 
-auto ActiveRequest::onSlotTimeout() -> void
+auto ActiveRequest::onSlotTimeout(std::uint64_t id) -> void
 {
+    if (id == this->moveRequestId) {
+        this->moveRequestId = 0;
+        this->addStep("keeper_silent");
+        this->moveByOwnState();
+        return;
+    }
     this->slotRequestPending = false;
     this->addStep("keeper_silent");
     this->placeOrQueue();
@@ -201,13 +217,15 @@
     this->scheduler.slotPort->reportSlotEvent(report);
 }
 
-auto ActiveRequest::heldSlot() const -> std::optional<fleet::HeldSlot>
+auto ActiveRequest::appendHeldSlots(std::vector<fleet::HeldSlot> &slots) const -> void
 {
-    if (!this->exchange) {
-        return std::nullopt;
+    if (this->exchange) {
+        slots.push_back({this->slotRequestId, this->server->hash,
+                         this->promptCounted ? this->profile.promptWork : 0});
+    }
+    if (const auto *move = this->currentMove()) {
+        slots.push_back({move->slotRequestId, move->server->hash, this->profile.promptWork});
     }
-    return fleet::HeldSlot{this->slotRequestId, this->server->hash,
-                           this->promptCounted ? this->profile.promptWork : 0};
 }
 
 } // namespace banyanring::gateway
--- a/src/gateway/active_request_suspects.cpp
+++ b/src/gateway/active_request_suspects.cpp
@@ -91,15 +91,16 @@
     return true;
 }
 
-auto ActiveRequest::recordLostRun(std::string_view reason) -> void
+auto ActiveRequest::recordLostRun(const fleet::Server &lost, Instant runSince, bool answering,
+                                  std::string_view reason) -> void
 {
     auto &suspects = this->scheduler.state.crashSuspects;
     const auto now = this->scheduler.clock();
     const bool wasSuspect = this->isCrashSuspect();
-    suspects.recordCrash(this->fingerprint, this->server->hash, this->sentAt, now);
-    if (!this->hasAnswered(now)) {
+    suspects.recordCrash(this->fingerprint, lost.hash, runSince, now);
+    if (!answering) {
         for (const auto part : this->partSuspects) {
-            suspects.recordCrash(part, this->server->hash, this->sentAt, now);
+            suspects.recordCrash(part, lost.hash, runSince, now);
         }
     }
     std::vector<std::string> parts;
@@ -107,13 +108,13 @@
         parts.push_back(formatHex(part));
     }
     logEvent("run_lost", {{"request_id", this->request.attemptId},
-                          {"server", this->server->registration.id},
+                          {"server", lost.registration.id},
                           {"reason", std::string(reason)},
-                          {"answering", this->hasAnswered(now)},
+                          {"answering", answering},
                           {"prompt_parts", std::move(parts)}});
     if (!wasSuspect && this->isCrashSuspect()) {
         logEvent("crash_suspect", {{"request_id", this->request.attemptId},
-                                   {"server", this->server->registration.id},
+                                   {"server", lost.registration.id},
                                    {"blocked", this->blockedSuspect()}});
     }
 }
--- a/src/gateway/scheduler.cpp
+++ b/src/gateway/scheduler.cpp
@@ -76,7 +76,7 @@
 {
     auto *request = this->findBySlotRequest(slotRequestId);
     if (request != nullptr && request->isSlotPending(slotRequestId)) {
-        request->onSlotTimeout();
+        request->onSlotTimeout(slotRequestId);
         this->placeDirtyServices();
     }
 }
@@ -85,9 +85,7 @@
 {
     std::vector<fleet::HeldSlot> slots;
     for (const auto &[number, request] : this->requests) {
-        if (const auto slot = request->heldSlot()) {
-            slots.push_back(*slot);
-        }
+        request->appendHeldSlots(slots);
     }
     return slots;
 }
--- a/src/gateway/server_connection_pool.cpp
+++ b/src/gateway/server_connection_pool.cpp
@@ -194,6 +194,7 @@
     this->rememberAttempt();
     this->connection->awaitResponse(this);
     this->connection->send(std::move(request));
+    this->observer.onSent();
 }
 
 auto ServerExchange::connectAndSend(std::shared_ptr<OutboundConnection> newConnection,
