--- a/include/banyanring/adapters/http_client.h
+++ b/include/banyanring/adapters/http_client.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <set>
 #include <thread>
