Requests: bound the memory of callers' bodies

Cause: each body was held twice, for a retry and in the bytes to send, and nothing bounded their sum. Change: a request and its dispatches share the body. Bodies of more than 64 KB reserve memory when their header has arrived, at most half of the node's in all; without room a request gets 503 with Retry-After before its body is read. A body that is alone is taken whatever its length. Tests: bodies_exceedTheBudget_furtherOnesGet503, body_chunkedBeyondTheBudget_gets503, body_longerThanTheBudget_isDeliveredAlone; dispatch_body_hasContentLength asks for the shared body.

--- a/include/banyanring/gateway/active_request.h
+++ b/include/banyanring/gateway/active_request.h
@@ -213,7 +213,7 @@
     auto endSilentExchange() -> void;
     auto checkMove(Instant now) -> void;
     auto beginExchange(Instant now) -> void;
-    auto encodeDispatch(const fleet::Server &newServer, Instant now) const -> std::string;
+    auto encodeDispatch(const fleet::Server &newServer, Instant now) const -> OutboundRequest;
     auto callerTimeout() const -> Duration;
     auto retryAfter(Duration wait) const -> Duration;
     auto serviceConfig() const -> const fleet::ServiceConfig *;
--- a/include/banyanring/gateway/caller_session.h
+++ b/include/banyanring/gateway/caller_session.h
@@ -38,6 +38,7 @@
     /** An incomplete or malformed request was rejected: status and reason phrase. */
     std::function<void(int, std::string_view)> onRejected;
     std::function<void(const IncompleteClose &)> onIncompleteClose; ///< For logs and metrics.
+    BodyBudget *bodyBudget = nullptr; ///< Budget for the bodies of requests; null for no limit.
 };
 
 /**
@@ -109,7 +110,9 @@
     auto startRead() -> void;
     auto onRead(const boost::system::error_code &error, std::size_t count) -> void;
     auto parseBuffered() -> void;
-    auto reject(int status, std::string_view reason) -> void;
+    auto reject(int status, std::string_view reason, std::vector<HeaderField> headers = {}) -> void;
+    /** Reserves memory for the body, or rejects the request. */
+    auto reserveBody() -> bool;
     auto deliverRequest() -> void;
     auto hasInvalidFraming() const -> bool;
     auto isIdle() const -> bool;
@@ -135,6 +138,7 @@
     bool chunked = true; ///< Stream the current response in chunks.
     bool streaming = false; ///< The header of the current response was sent by beginStream().
     bool lingerAfterWrite = false;
+    std::shared_ptr<BodyReservation> bodyReservation; ///< For the request that is being received.
     bool rejected = false; ///< The rest of the current request is discarded.
     IncompleteClose closeReport; ///< What the close of the connection leaves incomplete.
     std::string pendingOutput; ///< Data to send after the current write.
--- a/include/banyanring/gateway/outbound_connection.h
+++ b/include/banyanring/gateway/outbound_connection.h
@@ -65,8 +65,12 @@
      */
     auto awaitResponse(ResponseObserver *newObserver) -> void;
 
-    /** @param bytes A complete request, header and body. */
-    auto send(std::string bytes) -> void;
+    /**
+     * Sends a complete request.
+     * @param head Request line and header.
+     * @param body Body; null for none.
+     */
+    auto send(std::string head, std::shared_ptr<const std::string> body = nullptr) -> void;
 
     /** Closes the connection at once; no further events are reported. */
     auto close() -> void;
@@ -106,7 +110,8 @@
     boost::beast::flat_buffer buffer;
     std::optional<Parser> parser;
     ResponseObserver *observer = nullptr;
-    std::string currentOutput;
+    std::string currentHead; ///< Head of the request that is being sent.
+    std::shared_ptr<const std::string> currentBody; ///< Its body.
     std::size_t informationalBytes = 0; ///< Of the 1xx responses to the current request.
     bool connected = false;
     bool closed = false;
--- a/include/banyanring/gateway/request_type.h
+++ b/include/banyanring/gateway/request_type.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "banyanring/core/ids_type.h"
+#include "banyanring/gateway/body_budget.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -31,12 +33,20 @@
     std::vector<std::uint64_t> sharedPromptParts;
     std::optional<std::uint64_t> lastEventId; ///< Id of the event after which to resume a stream.
     std::vector<HeaderField> headers; ///< Headers to forward to a backend server.
-    std::string body; ///< Complete body.
+    std::shared_ptr<const std::string> body; ///< Complete body; shared with its dispatches.
+    std::shared_ptr<BodyReservation> bodyReservation; ///< Set if the body is not a short one.
     bool hasBody = false; ///< Whether the request has a body, even an empty one.
     bool keepAlive = true; ///< Whether the caller connection can be reused.
     Instant arrivedAt{}; ///< Time at which the header was complete.
 };
 
+/** An encoded request to a backend server. */
+struct OutboundRequest
+{
+    std::string head; ///< Request line and header.
+    std::shared_ptr<const std::string> body; ///< Null for none.
+};
+
 /** Decoded header of a backend server's response. */
 struct ServerResponse
 {
--- a/include/banyanring/gateway/scheduler_ports.h
+++ b/include/banyanring/gateway/scheduler_ports.h
@@ -141,14 +141,14 @@
      * Sends a request once.
      * @param server The server.
      * @param attemptId Attempt id that the response must carry.
-     * @param bytes Header and body.
+     * @param request Header and body.
      * @param retryable Whether the request may be retried; if not, an idle connection is reused
      *                  only if the server is certain not to close it meanwhile.
      * @param observer Receives the events; must outlive the exchange.
      * @return The exchange.
      */
     virtual auto send(const fleet::ServerPtr &server, const std::string &attemptId,
-                      std::string bytes, bool retryable, ExchangeObserver &observer)
+                      OutboundRequest request, bool retryable, ExchangeObserver &observer)
         -> std::unique_ptr<Exchange> = 0;
 };
 
--- a/include/banyanring/gateway/server_connection_pool.h
+++ b/include/banyanring/gateway/server_connection_pool.h
@@ -18,7 +18,7 @@
     /** @param context Runs the I/O handlers. */
     explicit ServerConnectionPool(boost::asio::io_context &context) : context(context) {}
 
-    auto send(const fleet::ServerPtr &server, const std::string &attemptId, std::string bytes,
+    auto send(const fleet::ServerPtr &server, const std::string &attemptId, OutboundRequest request,
               bool retryable, ExchangeObserver &observer) -> std::unique_ptr<Exchange> override;
 
     /**
--- a/src/gateway/active_request_exchange.cpp
+++ b/src/gateway/active_request_exchange.cpp
@@ -123,7 +123,8 @@
     this->answerRecorded = false;
 }
 
-auto ActiveRequest::encodeDispatch(const fleet::Server &newServer, Instant now) const -> std::string
+auto ActiveRequest::encodeDispatch(const fleet::Server &newServer, Instant now) const
+    -> OutboundRequest
 {
     platform::DispatchHeaders headers;
     headers.server = newServer.registration.id;
--- a/src/gateway/active_request_suspects.cpp
+++ b/src/gateway/active_request_suspects.cpp
@@ -29,7 +29,8 @@
 auto ActiveRequest::computeSuspects() -> void
 {
     boost::hash_combine(this->fingerprint, this->request.target);
-    boost::hash_combine(this->fingerprint, this->request.body);
+    boost::hash_combine(this->fingerprint,
+                        this->request.body ? *this->request.body : std::string());
     boost::hash_combine(this->fingerprint, this->organisation ? this->organisation->name : "");
     for (const auto part : this->request.sharedPromptParts) {
         this->partSuspects.push_back(mix64(part ^ PromptPartSalt));
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t MaxBufferedBytes = 65536; ///< Limit of buffered pipelined requests.
 /** Time to receive and discard data in transit, which would cause a reset after a close. */
 constexpr Duration LingerTimeout = std::chrono::seconds(1);
+constexpr std::size_t MaxShortBodyBytes = 65536; ///< Shorter bodies need no room in the budget.
+constexpr auto NoRoomRetryAfter = "0.5"; ///< Seconds; requests with long bodies take about as long.
 
 /** @return Status line and header fields of a response, without the empty line. */
 auto formatHeader(int status, std::string_view reason, const std::vector<HeaderField> &headers)
@@ -114,6 +116,9 @@
                 this->reject(400, "Bad Request");
                 return;
             }
+            if (!this->reserveBody()) {
+                return;
+            }
             if (boost::iequals(this->parser->get()[http::field::expect], "100-continue")
                 && !this->parser->is_done()) {
                 this->write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -134,6 +139,9 @@
             this->reject(400, "Bad Request");
             return;
         }
+        if (this->headerChecked && !this->reserveBody()) {
+            return;
+        }
         if (this->parser->is_done()) {
             this->deliverRequest();
             return;
@@ -144,6 +152,26 @@
     }
 }
 
+auto CallerSession::reserveBody() -> bool
+{
+    auto &body = this->parser->get().body();
+    const auto bytes =
+        std::max<std::uint64_t>(body.capacity(), this->parser->content_length().value_or(0));
+    if (this->handler.bodyBudget == nullptr || bytes <= MaxShortBodyBytes) {
+        return true;
+    }
+    if (!this->bodyReservation) {
+        this->bodyReservation = std::make_shared<BodyReservation>(*this->handler.bodyBudget);
+    }
+    if (this->bodyReservation->growTo(bytes)) {
+        return true;
+    }
+    std::string().swap(body);
+    this->bodyReservation.reset();
+    this->reject(503, "Service Unavailable", {{"Retry-After", NoRoomRetryAfter}});
+    return false;
+}
+
 auto CallerSession::hasInvalidFraming() const -> bool
 {
     const auto &fields = this->parser->get();
@@ -163,14 +191,16 @@
                       || message.find(http::field::transfer_encoding) != message.end();
     request.keepAlive = message.keep_alive();
     request.arrivedAt = this->headerReceivedAt;
-    request.body = std::move(message.body());
+    request.body = std::make_shared<const std::string>(std::move(message.body()));
+    request.bodyReservation = std::move(this->bodyReservation);
     this->keepAlive = request.keepAlive;
     this->chunked = message.version() >= 11;
     this->state = State::Responding;
     this->handler.onRequest(this->shared_from_this(), std::move(request));
 }
 
-auto CallerSession::reject(int status, std::string_view reason) -> void
+auto CallerSession::reject(int status, std::string_view reason, std::vector<HeaderField> headers)
+    -> void
 {
     if (this->handler.onRejected) {
         this->handler.onRejected(status, reason);
@@ -178,7 +208,7 @@
     this->state = State::Responding;
     this->keepAlive = false;
     this->rejected = true;
-    this->sendResponse({status, std::string(reason), {}, ""});
+    this->sendResponse({status, std::string(reason), std::move(headers), ""});
 }
 
 auto CallerSession::sendResponse(HttpResponse response) -> void
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -45,7 +45,8 @@
                  std::function<fleet::ProcessSettings()> reload)
     : settings(std::move(initialSettings)), reload(std::move(reload)),
       incarnation(nonZeroRandomNumber()), startedAt(bootClockNow()),
-      state(this->settings, this->startedAt), serverConnectionPool(this->context),
+      bodyBudget(this->settings.memoryBytes), state(this->settings, this->startedAt),
+      serverConnectionPool(this->context),
       scheduler(this->state, this->serverConnectionPool, bootClockNow, nonZeroRandomNumber()),
       peerSocket(this->context, this->settings.peers),
       gossip(this->peerSocket, this->state, [this] { return this->ownStatus(); }),
@@ -129,6 +130,7 @@
         limits.idleTimeout = this->state.config.idleTimeout(now);
         return limits;
     };
+    handler.bodyBudget = &this->bodyBudget;
     handler.onRejected = [this](int status, std::string_view reason) {
         this->scheduler.metrics.countEvent("rejected_" + std::to_string(status));
         logEvent("request_rejected",
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -55,6 +55,7 @@
     boost::asio::io_context context{1};
     std::uint64_t incarnation;
     Instant startedAt;
+    BodyBudget bodyBudget; ///< For the requests of callers.
     NodeState state;
     ServerConnectionPool serverConnectionPool;
     Scheduler scheduler;
--- a/src/gateway/outbound_connection.cpp
+++ b/src/gateway/outbound_connection.cpp
@@ -5,6 +5,7 @@
 #include "banyanring/fleet/process_settings_type.h"
 #include "socket_options.h"
 
+#include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -77,9 +78,10 @@
     this->headerReceived = false;
 }
 
-auto OutboundConnection::send(std::string bytes) -> void
+auto OutboundConnection::send(std::string head, std::shared_ptr<const std::string> body) -> void
 {
-    this->currentOutput = std::move(bytes);
+    this->currentHead = std::move(head);
+    this->currentBody = std::move(body);
     this->startWrite();
 }
 
@@ -87,13 +89,16 @@
 {
     this->writePending = true;
     auto self = this->shared_from_this();
-    asio::async_write(this->socket, asio::buffer(this->currentOutput),
-                      [self](const error_code &, std::size_t) {
-                          // A failed write is also reported by the pending read; the server may
-                          // have responded before it closed the connection.
-                          self->writePending = false;
-                          self->currentOutput.clear();
-                      });
+    const std::array<asio::const_buffer, 2> output{
+        asio::buffer(this->currentHead),
+        this->currentBody ? asio::buffer(*this->currentBody) : asio::const_buffer{}};
+    asio::async_write(this->socket, output, [self](const error_code &, std::size_t) {
+        // A failed write is also reported by the pending read; the server may have responded before
+        // it closed the connection.
+        self->writePending = false;
+        self->currentHead.clear();
+        self->currentBody.reset();
+    });
 }
 
 auto OutboundConnection::startRead() -> void
--- a/src/gateway/server_connection_pool.cpp
+++ b/src/gateway/server_connection_pool.cpp
@@ -61,15 +61,15 @@
 } // namespace
 
 auto ServerConnectionPool::send(const fleet::ServerPtr &server, const std::string &attemptId,
-                                std::string bytes, bool retryable, ExchangeObserver &observer)
+                                OutboundRequest request, bool retryable, ExchangeObserver &observer)
     -> std::unique_ptr<Exchange>
 {
     auto exchange = std::make_unique<ServerExchange>(*this, server, attemptId, observer);
     if (auto pooled = this->acquireIdle(server->registration.id, attemptId, retryable)) {
-        exchange->sendOn(std::move(pooled), std::move(bytes));
+        exchange->sendOn(std::move(pooled), std::move(request));
     } else {
         exchange->connectAndSend(std::make_shared<OutboundConnection>(this->context),
-                                 server->registration.address, std::move(bytes), bootClockNow());
+                                 server->registration.address, std::move(request), bootClockNow());
     }
     return exchange;
 }
@@ -187,19 +187,20 @@
     }
 }
 
-auto ServerExchange::sendOn(std::shared_ptr<OutboundConnection> pooled, std::string request) -> void
+auto ServerExchange::sendOn(std::shared_ptr<OutboundConnection> pooled, OutboundRequest request)
+    -> void
 {
     this->connection = std::move(pooled);
     this->mayBeForOthers = true;
     this->rememberAttempt();
     this->connection->awaitResponse(this);
-    this->connection->send(std::move(request));
+    this->connection->send(std::move(request.head), std::move(request.body));
     this->observer.onSent();
 }
 
 auto ServerExchange::connectAndSend(std::shared_ptr<OutboundConnection> newConnection,
-                                    const std::string &address, std::string request, Instant now)
-    -> void
+                                    const std::string &address, OutboundRequest request,
+                                    Instant now) -> void
 {
     this->connection = std::move(newConnection);
     this->rememberAttempt();
@@ -218,7 +219,8 @@
 auto ServerExchange::onConnected() -> void
 {
     this->pool.connecting.erase(this);
-    this->connection->send(std::move(this->pendingRequest));
+    this->connection->send(std::move(this->pendingRequest.head),
+                           std::move(this->pendingRequest.body));
     this->observer.onSent();
 }
 
--- a/src/gateway/server_exchange.h
+++ b/src/gateway/server_exchange.h
@@ -29,7 +29,7 @@
      * @param pooled The open, idle connection.
      * @param request Header and body.
      */
-    auto sendOn(std::shared_ptr<OutboundConnection> pooled, std::string request) -> void;
+    auto sendOn(std::shared_ptr<OutboundConnection> pooled, OutboundRequest request) -> void;
 
     /**
      * Opens a connection and sends the request on it.
@@ -39,7 +39,7 @@
      * @param now Current time.
      */
     auto connectAndSend(std::shared_ptr<OutboundConnection> newConnection,
-                        const std::string &address, std::string request, Instant now) -> void;
+                        const std::string &address, OutboundRequest request, Instant now) -> void;
 
     /** Fails the exchange, because the connection was not opened in time. */
     auto onConnectTimeout() -> void;
@@ -67,7 +67,7 @@
     std::string attemptId;
     ExchangeObserver &observer;
     std::shared_ptr<OutboundConnection> connection;
-    std::string pendingRequest; ///< Request to send once the connection is open.
+    OutboundRequest pendingRequest; ///< Request to send once the connection is open.
     Instant connectStart{};
     bool otherAttempt = false; ///< Discards the current response, which is not for this attempt.
     bool hasId = true; ///< The current response carries an attempt id.
--- a/tests/fleet/http_listener_tests.cpp
+++ b/tests/fleet/http_listener_tests.cpp
@@ -27,6 +27,9 @@
     CPPUNIT_TEST(request_malformedChunk_gets400);
     CPPUNIT_TEST(request_headerTooLarge_gets431);
     CPPUNIT_TEST(request_bodyTooLarge_gets413);
+    CPPUNIT_TEST(bodies_exceedTheBudget_furtherOnesGet503);
+    CPPUNIT_TEST(body_chunkedBeyondTheBudget_gets503);
+    CPPUNIT_TEST(body_longerThanTheBudget_isDeliveredAlone);
     CPPUNIT_TEST(requests_pipelined_getResponsesInOrder);
     CPPUNIT_TEST(caller_disconnectsWhileWaiting_isReported);
     CPPUNIT_TEST(header_incompleteAfterTimeout_gets408);
@@ -57,6 +60,7 @@
             this->incompleteCloses.push_back(report);
         };
         handler.limits = [this](Instant) { return this->limits; };
+        handler.bodyBudget = &this->budget;
         const auto port = freePort();
         this->listener = std::make_unique<HttpListener>(
             this->context, fleet::Endpoint{Loopback, port}, std::move(handler));
@@ -98,7 +102,7 @@
         CPPUNIT_ASSERT(this->requests.empty());
         this->send("dy");
         CPPUNIT_ASSERT(this->waitForRequests(1));
-        CPPUNIT_ASSERT_EQUAL(std::string("body"), this->requests[0].body);
+        CPPUNIT_ASSERT_EQUAL(std::string("body"), *this->requests[0].body);
         this->sessions[0]->sendResponse({200, "OK", {}, "fine"});
         CPPUNIT_ASSERT(this->expect("Content-Length: 4\r\n\r\nfine"));
     }
@@ -108,7 +112,7 @@
         this->send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
                    "2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n");
         CPPUNIT_ASSERT(this->waitForRequests(1));
-        CPPUNIT_ASSERT_EQUAL(std::string("body"), this->requests[0].body);
+        CPPUNIT_ASSERT_EQUAL(std::string("body"), *this->requests[0].body);
         CPPUNIT_ASSERT(this->requests[0].hasBody);
     }
 
@@ -150,6 +154,50 @@
         CPPUNIT_ASSERT(this->expect("HTTP/1.1 413"));
     }
 
+    /** @return A request with a body of the given size. */
+    static auto requestWithBody(std::size_t size) -> std::string
+    {
+        return "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n"
+               + std::string(size, 'x');
+    }
+
+    /** Bodies within the limits of the configuration exceeded the memory of a node together. */
+    auto bodies_exceedTheBudget_furtherOnesGet503() -> void
+    {
+        this->limits.maxBodyBytes = BudgetBytes;
+        BodyReservation others(this->budget);
+        CPPUNIT_ASSERT(others.growTo(BudgetBytes / 2));
+        this->send(requestWithBody(BudgetBytes / 2 + 1));
+        CPPUNIT_ASSERT(this->expect("HTTP/1.1 503 Service Unavailable\r\nRetry-After: "));
+        CPPUNIT_ASSERT(this->requests.empty());
+        CPPUNIT_ASSERT_EQUAL(BudgetBytes / 2, this->budget.reservedBytes());
+    }
+
+    auto body_chunkedBeyondTheBudget_gets503() -> void
+    {
+        constexpr std::size_t ChunkBytes = 65536;
+        this->limits.maxBodyBytes = BudgetBytes;
+        BodyReservation others(this->budget);
+        CPPUNIT_ASSERT(others.growTo(BudgetBytes - ChunkBytes));
+        this->send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (int count = 0; count < 3; ++count) {
+            this->send("10000\r\n" + std::string(ChunkBytes, 'x') + "\r\n");
+        }
+        CPPUNIT_ASSERT(this->expect("HTTP/1.1 503 "));
+        CPPUNIT_ASSERT(this->requests.empty());
+        CPPUNIT_ASSERT_EQUAL(BudgetBytes - ChunkBytes, this->budget.reservedBytes());
+    }
+
+    auto body_longerThanTheBudget_isDeliveredAlone() -> void
+    {
+        this->limits.maxBodyBytes = 2 * BudgetBytes;
+        this->send(requestWithBody(BudgetBytes + 1));
+        CPPUNIT_ASSERT(this->waitForRequests(1));
+        CPPUNIT_ASSERT_EQUAL(BudgetBytes + 1, this->budget.reservedBytes());
+        this->requests.clear();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, this->budget.reservedBytes());
+    }
+
     auto requests_pipelined_getResponsesInOrder() -> void
     {
         this->send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
@@ -324,6 +372,9 @@
     }
 
 private:
+    static constexpr std::size_t BudgetBytes = 512U << 10U;
+
+    BodyBudget budget{BudgetBytes * BodyBudget::MemoryFraction};
     asio::io_context context;
     fleet::CallerLimits limits;
     std::unique_ptr<HttpListener> listener;
--- a/tests/fleet/platform_tests.cpp
+++ b/tests/fleet/platform_tests.cpp
@@ -258,7 +258,8 @@
             forged.set(name, "forged");
         }
         forged.set(http::field::connection, "keep-alive, Hop");
-        const auto bytes = encodeDispatch(decodeRequest(forged), {"i-1", "org", seconds(1), {}});
+        const auto bytes =
+            encodeDispatch(decodeRequest(forged), {"i-1", "org", seconds(1), {}}).head;
         CPPUNIT_ASSERT(bytes.find("forged") == std::string::npos);
         CPPUNIT_ASSERT(bytes.find("secret") == std::string::npos);
         CPPUNIT_ASSERT(bytes.find("X-Custom: kept\r\n") != std::string::npos);
@@ -270,9 +271,11 @@
     auto dispatch_body_hasContentLength() -> void
     {
         auto request = decodeRequest(header());
-        request.body = "12345";
+        request.body = std::make_shared<const std::string>("12345");
         request.hasBody = true;
-        const auto bytes = encodeDispatch(request, {"i-1", "", seconds(1), 7});
+        const auto encoded = encodeDispatch(request, {"i-1", "", seconds(1), 7});
+        CPPUNIT_ASSERT(encoded.body == request.body);
+        const auto bytes = encoded.head + *encoded.body;
         CPPUNIT_ASSERT(bytes.starts_with("POST /a/b?x=1 HTTP/1.1\r\n"));
         CPPUNIT_ASSERT(bytes.find("Content-Length: 5\r\n") != std::string::npos);
         CPPUNIT_ASSERT(bytes.find("X-Deadline-Remaining: 1000\r\n") != std::string::npos);
--- a/tests/fleet/scheduler_fixture.h
+++ b/tests/fleet/scheduler_fixture.h
@@ -98,11 +98,12 @@
         std::shared_ptr<FakeDispatch> dispatch;
     };
 
-    auto send(const fleet::ServerPtr &server, const std::string &, std::string bytes, bool,
+    auto send(const fleet::ServerPtr &server, const std::string &, OutboundRequest request, bool,
               ExchangeObserver &observer) -> std::unique_ptr<Exchange> override
     {
-        this->dispatches.push_back(std::make_shared<FakeDispatch>(
-            FakeDispatch{server->registration.id, std::move(bytes), &observer, false, false}));
+        this->dispatches.push_back(std::make_shared<FakeDispatch>(FakeDispatch{
+            server->registration.id, request.head + (request.body ? *request.body : ""), &observer,
+            false, false}));
         return std::make_unique<FakeExchange>(this->dispatches.back());
     }
 
@@ -179,7 +180,7 @@
         result.host = "host";
         result.attemptId = "try-1";
         result.apiKey = key;
-        result.body = "body";
+        result.body = std::make_shared<const std::string>("body");
         result.hasBody = true;
         result.timeLeft = seconds(4);
         result.arrivedAt = this->now;
--- a/tests/fleet/server_connection_pool_tests.cpp
+++ b/tests/fleet/server_connection_pool_tests.cpp
@@ -175,8 +175,8 @@
     auto exchange(const std::string &attemptId) -> ExchangeRecorder
     {
         ExchangeRecorder result;
-        auto exchange =
-            this->pool.send(this->server, attemptId, "GET / HTTP/1.1\r\n\r\n", false, result);
+        auto exchange = this->pool.send(this->server, attemptId,
+                                        {"GET / HTTP/1.1\r\n\r\n", nullptr}, false, result);
         CPPUNIT_ASSERT(runUntil(this->context, [&] { return result.hasEnded(); }));
         return result;
     }
@@ -207,7 +207,7 @@
         this->rawServer->responses = {responseBytes("1", "one"), responseBytes("2", "two")};
         ExchangeRecorder first;
         const auto exchange =
-            this->pool.send(this->server, "1", "GET / HTTP/1.1\r\n\r\n", false, first);
+            this->pool.send(this->server, "1", {"GET / HTTP/1.1\r\n\r\n", nullptr}, false, first);
         first.onData = [&] { exchange->pauseReading(true); };
         CPPUNIT_ASSERT(runUntil(this->context, [&] { return first.hasEnded(); }));
         CPPUNIT_ASSERT_EQUAL(std::string("two"), this->exchange("2").body);
--- a/tests/fleet/server_statement_fleet_tests.cpp
+++ b/tests/fleet/server_statement_fleet_tests.cpp
@@ -99,11 +99,12 @@
     public:
         Port(ServerStatementFleetFixture &fleet, std::size_t node) : fleet(fleet), node(node) {}
 
-        auto send(const fleet::ServerPtr &server, const std::string &attemptId, std::string bytes,
-                  bool retryable, ExchangeObserver &observer) -> std::unique_ptr<Exchange> override
+        auto send(const fleet::ServerPtr &server, const std::string &attemptId,
+                  OutboundRequest request, bool retryable, ExchangeObserver &observer)
+            -> std::unique_ptr<Exchange> override
         {
             auto exchange =
-                FakeServerPort::send(server, attemptId, std::move(bytes), retryable, observer);
+                FakeServerPort::send(server, attemptId, std::move(request), retryable, observer);
             this->fleet.onDispatch(this->node, this->dispatches.back());
             this->dispatches.clear();
             return exchange;
