Quota: compare a limit with the one in force before summing the usage

Each request summed the usage of all nodes twice, as a change of the limit needs it; with hundreds of nodes these are many windows. Now only a change does.

--- a/include/banyanring/fleet/limit_history.h
+++ b/include/banyanring/fleet/limit_history.h
@@ -55,6 +55,12 @@
         return !this->periods.empty();
     }
 
+    /** @return Whether a limit is the one in force. */
+    auto isInForce(double limit) const -> bool
+    {
+        return this->isSet() && this->periods.back().limit == limit;
+    }
+
     /** Forgets all limits. */
     auto clear() -> void
     {
--- a/include/banyanring/fleet/quota_limiter.h
+++ b/include/banyanring/fleet/quota_limiter.h
@@ -164,6 +164,11 @@
     /** Usage of one organisation. */
     struct Usage
     {
+        Usage(Duration window, Duration demandWindow)
+            : own(window), beforeStart(window), demand(demandWindow), limits(window)
+        {
+        }
+
         SlidingWindowCounter own; ///< Admitted by this node.
         /** Admitted by any node before this process started: assumed, or reported by a peer. */
         SlidingWindowCounter beforeStart;
--- a/src/fleet/limit_history.cpp
+++ b/src/fleet/limit_history.cpp
@@ -14,7 +14,7 @@
 
 auto LimitHistory::set(double limit, const UsageSums &used, Instant now) -> void
 {
-    if (this->isSet() && this->periods.back().limit == limit) {
+    if (this->isInForce(limit)) {
         return;
     }
     this->removeExpired(now);
--- a/src/fleet/quota_limiter.cpp
+++ b/src/fleet/quota_limiter.cpp
@@ -65,17 +65,7 @@
 
 auto QuotaLimiter::usageOf(std::uint32_t organisation) -> Usage &
 {
-    const SlidingWindowCounter empty(this->bounds.quotaWindow);
-    return this->usages
-        .try_emplace(organisation, Usage{empty,
-                                         empty,
-                                         SlidingWindowCounter(DemandWindow),
-                                         false,
-                                         0,
-                                         false,
-                                         false,
-                                         LimitHistory(this->bounds.quotaWindow),
-                                         {}})
+    return this->usages.try_emplace(organisation, Usage(this->bounds.quotaWindow, DemandWindow))
         .first->second;
 }
 
@@ -215,6 +205,9 @@
     const double limit = this->windowLimit(organisation);
     const bool isOtherUnit =
         usage.limits.isSet() && usage.countsTokens != organisation.countsTokens;
+    if (!usage.wasUnlimited && !isOtherUnit && usage.limits.isInForce(limit)) {
+        return;
+    }
     if (std::exchange(usage.wasUnlimited, false) || isOtherUnit) {
         this->startNewWindow(id, usage);
     } else if (!usage.limits.isSet() && !usage.beforeStartReported) {
