--- a/include/banyanring/gateway/http_client.h
+++ b/include/banyanring/gateway/http_client.h
@@ -9,6 +9,9 @@
 
 namespace banyanring::gateway {
 
+/** Failure of a request whose response was longer than the client accepts. */
+constexpr auto ResponseTooLong = "too_long";
+
 /** Result of a request. */
 struct HttpResult
 {
--- a/src/gateway/http_client.cpp
+++ b/src/gateway/http_client.cpp
@@ -71,7 +71,7 @@
 {
     if (this->result.body.size() + data.size() > MaxBodyBytes) {
         this->connection->close();
-        this->finish({0, "", "too_long"});
+        this->finish({0, "", ResponseTooLong});
         return;
     }
     this->result.body.append(data);
--- a/tests/fleet/store_reader_tests.cpp
+++ b/tests/fleet/store_reader_tests.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(start_multiplePages_areAllRead);
     CPPUNIT_TEST(watch_change_isApplied);
     CPPUNIT_TEST(watch_historyGone_rereadsAllItems);
+    CPPUNIT_TEST(watch_tooManyChanges_rereadsAllItems);
     CPPUNIT_TEST(store_failedRequests_areRetried);
     CPPUNIT_TEST(store_failedPage_isResumed);
     CPPUNIT_TEST(store_unreachable_isReportedOnce);
@@ -131,6 +132,18 @@
         CPPUNIT_ASSERT_EQUAL(2 * pages + 2, this->requestTargets.size());
     }
 
+    auto watch_tooManyChanges_rereadsAllItems() -> void
+    {
+        this->reader->start();
+        CPPUNIT_ASSERT(this->awaitWatches(1));
+        const auto rangeRequests = this->requestTargets.size() - 1;
+        this->watchBody = std::string(9U << 20U, ' ');
+        this->reader->stop();
+        this->reader->start();
+        CPPUNIT_ASSERT(this->awaitWatches(3));
+        CPPUNIT_ASSERT_EQUAL(2 * rangeRequests + 3, this->requestTargets.size());
+    }
+
     auto store_failedRequests_areRetried() -> void
     {
         this->queuedStatuses = {429, 503, 0};
