Moves: record what the next server says, and that it may have run the request

Found by reading the change: (1) a 503 with Retry-After or Server-Leaving that refuses a move was not recorded, so that the node goes on sending requests to that server; (2) after a move that was sent and then given up, or failed, a rejection by the first server let the request end with 503, "not run", though the next server may have run it; (3) queued requests waited up to 50 ms for the freed slot. Cause: the events of a move bypass the path on which an exchange records its header and its run. Change: both paths share recordServerStatements and recordPossibleExecution; ends of moves place what waits. Tests: request_nextServerDefersItself_getsNothingMeanwhile, request_mayHaveRunAtTheNextServer_*.

--- a/include/banyanring/gateway/active_request.h
+++ b/include/banyanring/gateway/active_request.h
@@ -173,7 +173,13 @@
     auto dispatch(const fleet::ServerPtr &newServer, bool coordinated) -> void;
     auto endExchange(fleet::AttemptOutcome outcome) -> void;
     auto recordResponseStats() -> void;
-    auto recordServerStatements() -> void;
+    auto recordServerStatements(fleet::Server &server, const ServerResponse &header) -> void;
+    /** Counts a server that may have executed the request. */
+    auto recordPossibleExecution() -> void
+    {
+        this->mayHaveExecuted = true;
+        ++this->possibleExecutions;
+    }
     auto recordUnreachable(fleet::Server &unreachable) -> void;
     auto recordRejection(fleet::Server &rejecting, const ServerResponse &header) -> void;
     auto handleServerRejection() -> void;
--- a/src/gateway/active_request_exchange.cpp
+++ b/src/gateway/active_request_exchange.cpp
@@ -165,7 +165,7 @@
         logEvent("server_reachable", {{"server", server.registration.id},
                                       {"cold_ms", std::int64_t{coldFor / milliseconds(1)}}});
     }
-    this->recordServerStatements();
+    this->recordServerStatements(server, header);
     if (!this->isStream() && header.declaredLength > ResponseBuffer::MaxBytes) {
         this->onResponseTooLong();
     }
@@ -280,8 +280,7 @@
         return;
     }
     if (failed) {
-        ++this->possibleExecutions;
-        this->mayHaveExecuted = true;
+        this->recordPossibleExecution();
         if (this->tryTakeRetry()) {
             this->endExchange(serverError ? fleet::AttemptOutcome::Failed
                                           : fleet::AttemptOutcome::Neutral);
@@ -377,8 +376,7 @@
 {
     const auto now = this->scheduler.clock();
     const auto id = this->server->registration.id;
-    this->mayHaveExecuted = true;
-    ++this->possibleExecutions;
+    this->recordPossibleExecution();
     // A stream without framing ends as if complete when its server crashes.
     if (reason == "no_answer" || reason == "truncated" || reason == "cut_event") {
         this->recordLostRun(*this->server, this->sentAt, this->hasAnswered(now), reason);
--- a/src/gateway/active_request_move.cpp
+++ b/src/gateway/active_request_move.cpp
@@ -136,6 +136,7 @@
         this->adoptMove();
         return true;
     }
+    this->recordServerStatements(newServer, header);
     this->addStep("move_refused",
                   newServer.registration.id + " status " + std::to_string(header.status));
     if (header.notExecuted) {
@@ -143,9 +144,10 @@
         this->recordRejection(newServer, header);
         this->endMove(fleet::AttemptOutcome::Neutral, fleet::SlotEvent::Rejected);
     } else {
-        ++this->possibleExecutions;
+        this->recordPossibleExecution();
         this->endMove(fleet::AttemptOutcome::Failed, fleet::SlotEvent::Failed);
     }
+    this->scheduler.placeDirtyServices();
     return false;
 }
 
@@ -158,13 +160,15 @@
         this->triedServers.insert(newServer.registration.id);
         this->recordUnreachable(newServer);
         this->endMove(fleet::AttemptOutcome::Neutral, fleet::SlotEvent::Unreachable);
+        this->scheduler.placeDirtyServices();
         return;
     }
-    ++this->possibleExecutions;
+    this->recordPossibleExecution();
     if (failure != ExchangeFailure::Malformed) {
         this->recordLostRun(newServer, move.sentAt.value_or(move.dispatchedAt), false, "move");
     }
     this->endMove(fleet::AttemptOutcome::Failed, fleet::SlotEvent::Failed);
+    this->scheduler.placeDirtyServices();
 }
 
 auto ActiveRequest::adoptMove() -> void
@@ -212,7 +216,9 @@
         this->scheduler.slotPort->cancelSlotRequest(id);
     }
     if (const auto *move = this->currentMove()) {
-        this->possibleExecutions += move->sentAt ? 1 : 0;
+        if (move->sentAt) {
+            this->recordPossibleExecution();
+        }
         this->endMove(fleet::AttemptOutcome::Neutral, fleet::SlotEvent::Neutral);
     }
 }
@@ -220,8 +226,7 @@
 auto ActiveRequest::endSilentExchange() -> void
 {
     const auto now = this->scheduler.clock();
-    this->mayHaveExecuted = true;
-    ++this->possibleExecutions;
+    this->recordPossibleExecution();
     this->leftSilentServer = true;
     this->body.clear();
     const bool failing =
--- a/src/gateway/active_request_statements.cpp
+++ b/src/gateway/active_request_statements.cpp
@@ -7,11 +7,10 @@
 
 namespace banyanring::gateway {
 
-auto ActiveRequest::recordServerStatements() -> void
+auto ActiveRequest::recordServerStatements(fleet::Server &server, const ServerResponse &header)
+    -> void
 {
-    const auto now = this->responseAt;
-    const auto &header = this->response;
-    auto &server = *this->server;
+    const auto now = this->scheduler.clock();
     if (header.requestLimit && server.requestLimit.update(*header.requestLimit, now, now)) {
         logRequestLimit(server, this->request.attemptId);
     }
--- a/tests/fleet/silent_server_tests.cpp
+++ b/tests/fleet/silent_server_tests.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(request_nextServerUnreachable_keepsItsServer);
     CPPUNIT_TEST(stream_nextServerRejects_keepsItsServer);
     CPPUNIT_TEST(stream_nextServerFails_keepsItsServer);
+    CPPUNIT_TEST(request_nextServerDefersItself_getsNothingMeanwhile);
+    CPPUNIT_TEST(request_mayHaveRunAtTheNextServer_isNotCalledUnrun);
     CPPUNIT_TEST(stream_serverFailsDuringTheMove_continuesAtTheNextOne);
     CPPUNIT_TEST(stream_serverSpeaksDuringTheMove_keepsItsServer);
     CPPUNIT_TEST(caller_disconnectsDuringTheMove_bothServersAreLeft);
@@ -148,6 +150,37 @@
         }
     }
 
+    auto request_nextServerDefersItself_getsNothingMeanwhile() -> void
+    {
+        this->submit(this->request("/lookup/1"));
+        this->lastDispatch().observer->onSent();
+        this->pass(milliseconds(1000));
+        const auto next = this->state->servers.find(this->lastDispatch().server);
+        auto rejection = header(503, false);
+        rejection.notExecuted = true;
+        rejection.retryAfter = seconds(2);
+        rejection.leaving = true;
+        this->lastDispatch().observer->onSent();
+        this->lastDispatch().observer->onResponseHeader(rejection);
+        CPPUNIT_ASSERT(next->isDeferred(this->now + milliseconds(1900)));
+        CPPUNIT_ASSERT(next->leaving);
+        CPPUNIT_ASSERT(!this->servers.dispatches.front()->cancelled);
+    }
+
+    auto request_mayHaveRunAtTheNextServer_isNotCalledUnrun() -> void
+    {
+        const auto caller = this->submit(this->request("/lookup/1"));
+        auto &first = this->lastDispatch();
+        first.observer->onSent();
+        this->pass(milliseconds(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->servers.dispatches.size());
+        this->lastDispatch().observer->onSent();
+        while (this->state->retryBudget.tryTake("desk", 1, this->now)) {
+        }
+        reply(first, 503, false, true);
+        CPPUNIT_ASSERT_EQUAL(502, caller->response.status);
+    }
+
     auto stream_serverFailsDuringTheMove_continuesAtTheNextOne() -> void
     {
         const auto caller = this->submit(this->request("/clause/1"));
