Requests: count shorter bodies as well

Cause: bodies of up to 64 KB were not counted, so that a thousand callers could hold 64 MB outside the bound. Change: from 4 KB on they are. Checked: fleet_tests, 477 tests passed.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -25,7 +25,7 @@
 constexpr std::size_t MaxBufferedBytes = 65536; ///< Limit of buffered pipelined requests.
 /** Time to receive and discard data in transit, which would cause a reset after a close. */
 constexpr Duration LingerTimeout = std::chrono::seconds(1);
-constexpr std::size_t MaxShortBodyBytes = 65536; ///< Shorter bodies need no room in the budget.
+constexpr std::size_t MaxShortBodyBytes = 4096; ///< Shorter bodies need no room in the budget.
 constexpr auto NoRoomRetryAfter = "0.5"; ///< Seconds; requests with long bodies take about as long.
 
 /** @return Status line and header fields of a response, without the empty line. */
