--- a/include/banyanring/gateway/request_type.h
+++ b/include/banyanring/gateway/request_type.h
@@ -68,6 +68,12 @@
     bool leaving = false; ///< The server is about to stop and wants no new requests.
     std::uint64_t declaredLength = 0; ///< Length of the body; 0 if the header does not say.
     std::vector<HeaderField> headers; ///< Headers to forward to the caller.
+
+    /** @return Whether the status is one from 200 to 299. */
+    auto isSuccess() const -> bool
+    {
+        return this->status / 100 == 2;
+    }
 };
 
 } // namespace banyanring::gateway
--- a/src/gateway/active_request_move.cpp
+++ b/src/gateway/active_request_move.cpp
@@ -15,8 +15,6 @@
  * 400 ms.
  */
 constexpr Duration RejectionTime = milliseconds(250);
-constexpr int SuccessStatusClass = 2; ///< Statuses 200 to 299.
-constexpr int StatusClassSize = 100; ///< Number of statuses in a class.
 
 } // namespace
 
@@ -132,7 +130,7 @@
 auto ActiveRequest::takeMove(const ServerResponse &header) -> bool
 {
     auto &newServer = *this->currentMove()->server;
-    if (header.status / StatusClassSize == SuccessStatusClass && header.sealed) {
+    if (header.isSuccess() && header.sealed) {
         this->adoptMove();
         return true;
     }
--- a/tests/fleet/killed_watcher_tests.cpp
+++ b/tests/fleet/killed_watcher_tests.cpp
@@ -1,5 +1,4 @@
 /** @file killed_watcher_tests.cpp Tests of a node whose peers stop watching the store. */
-#include "banyanring/gateway/http_listener.h"
 #include "banyanring/gateway/store_mirror_sync.h"
 #include "banyanring/ports/clock_func.h"
 #include "loopback.h"
@@ -15,6 +14,7 @@
 using test::freePort;
 using test::Loopback;
 using test::runUntil;
+using test::startListener;
 
 /** A node with two peers of a higher rank, which watch the store until they are killed. */
 class KilledWatcherFixture : public CppUnit::TestFixture
@@ -28,16 +28,14 @@
 public:
     auto setUp() -> void override
     {
-        HttpHandler handler;
-        handler.limits = [](Instant) { return fleet::CallerLimits{}; };
-        handler.onRequest = [this](const CallerSessionPtr &session, const CallerRequest &request) {
-            this->respond(session, request);
-        };
         this->settings.peers = {Loopback, freePort()};
         this->settings.store = {Loopback, freePort()};
         this->settings.domain = "z1";
         this->store =
-            std::make_unique<HttpListener>(this->context, this->settings.store, std::move(handler));
+            startListener(this->context, this->settings.store,
+                          [this](const CallerSessionPtr &session, const CallerRequest &request) {
+                              this->respond(session, request);
+                          });
         this->state = std::make_unique<NodeState>(this->settings, bootClockNow());
         this->socket = std::make_unique<PeerSocket>(this->context, this->settings.peers);
         this->mirrorSync = std::make_unique<StoreMirrorSync>(this->context, this->settings,
--- a/tests/fleet/loopback.h
+++ b/tests/fleet/loopback.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "banyanring/core/ids_type.h"
+#include "banyanring/gateway/http_listener.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -21,6 +22,24 @@
     return acceptor.local_endpoint().port();
 }
 
+/**
+ * Starts a server for requests that a node sends.
+ * @param context The event loop.
+ * @param endpoint Where it listens.
+ * @param onRequest Called for each request.
+ * @return The listener.
+ */
+inline auto
+startListener(boost::asio::io_context &context, const fleet::Endpoint &endpoint,
+              std::function<void(const gateway::CallerSessionPtr &, const gateway::CallerRequest &)>
+                  onRequest) -> std::unique_ptr<gateway::HttpListener>
+{
+    gateway::HttpHandler handler;
+    handler.limits = [](Instant) { return fleet::CallerLimits{}; };
+    handler.onRequest = std::move(onRequest);
+    return std::make_unique<gateway::HttpListener>(context, endpoint, std::move(handler));
+}
+
 /**
  * Runs the event loop until a condition holds, for 5 seconds at most.
  * @param context The event loop.
--- a/tests/fleet/store_reader_tests.cpp
+++ b/tests/fleet/store_reader_tests.cpp
@@ -1,5 +1,4 @@
 /** @file store_reader_tests.cpp Tests of the store reader against a fake store. */
-#include "banyanring/gateway/http_listener.h"
 #include "loopback.h"
 #include "store_reader.h"
 
@@ -12,6 +11,7 @@
 using test::freePort;
 using test::Loopback;
 using test::runUntil;
+using test::startListener;
 
 /** A store reader and a fake store whose responses a test sets. */
 class StoreReaderFixture : public CppUnit::TestFixture
@@ -30,15 +30,13 @@
 public:
     auto setUp() -> void override
     {
-        HttpHandler handler;
-        handler.limits = [](Instant) { return fleet::CallerLimits{}; };
-        handler.onRequest = [this](const CallerSessionPtr &session, const CallerRequest &request) {
-            this->requestTargets.push_back(request.target);
-            this->respond(session, request);
-        };
         const auto port = freePort();
-        this->store = std::make_unique<HttpListener>(this->context, fleet::Endpoint{Loopback, port},
-                                                     std::move(handler));
+        this->store =
+            startListener(this->context, fleet::Endpoint{Loopback, port},
+                          [this](const CallerSessionPtr &session, const CallerRequest &request) {
+                              this->requestTargets.push_back(request.target);
+                              this->respond(session, request);
+                          });
         platform::StoreReader::Callbacks callbacks;
         callbacks.onChanged = [this](const std::vector<std::string> &keys) {
             this->changedKeys.insert(this->changedKeys.end(), keys.begin(), keys.end());
--- a/tests/fleet/store_restore_tests.cpp
+++ b/tests/fleet/store_restore_tests.cpp
@@ -1,5 +1,4 @@
 /** @file store_restore_tests.cpp Tests of the store reader against a store that is restored. */
-#include "banyanring/gateway/http_listener.h"
 #include "loopback.h"
 #include "store_reader.h"
 
@@ -13,6 +12,7 @@
 using test::freePort;
 using test::Loopback;
 using test::runUntil;
+using test::startListener;
 
 /** A store reader and a fake store that returns one item a page. */
 class StoreRestoreFixture : public CppUnit::TestFixture
@@ -34,15 +34,13 @@
 public:
     auto setUp() -> void override
     {
-        HttpHandler handler;
-        handler.limits = [](Instant) { return fleet::CallerLimits{}; };
-        handler.onRequest = [this](const CallerSessionPtr &session, const CallerRequest &request) {
-            this->requestTargets.push_back(request.target);
-            this->respond(session, request.target);
-        };
         const auto port = freePort();
-        this->store = std::make_unique<HttpListener>(this->context, fleet::Endpoint{Loopback, port},
-                                                     std::move(handler));
+        this->store =
+            startListener(this->context, fleet::Endpoint{Loopback, port},
+                          [this](const CallerSessionPtr &session, const CallerRequest &request) {
+                              this->requestTargets.push_back(request.target);
+                              this->respond(session, request.target);
+                          });
         platform::StoreReader::Callbacks callbacks;
         callbacks.onChanged = [](const std::vector<std::string> &) {};
         callbacks.onReachabilityChanged = [this](bool reachable, const std::string &) {
