Registry test: fix the order in which a version is raised and used

Cause: one call raised the version in one argument and read it in another, so the compiler chose the order; x86-64 and arm64 differ, and idleTimeout_manyChanges_neverBelowAPreviousValue failed on x86-64 each time.

--- a/tests/fleet/registry_tests.cpp
+++ b/tests/fleet/registry_tests.cpp
@@ -147,7 +147,8 @@
     {
         std::uint64_t version = 0;
         for (int timeout = 60; timeout > 1; --timeout) {
-            this->activeConfig.update(makeConfig(++version, seconds(timeout)), seconds(version));
+            ++version;
+            this->activeConfig.update(makeConfig(version, seconds(timeout)), seconds(version));
         }
         CPPUNIT_ASSERT(this->activeConfig.idleTimeout(seconds(version)) == seconds(60));
         for (int timeout = 60; timeout > 2; --timeout) {
