Coordinators: log slots and waiting requests of a full service

Cause: nobody could tell a service whose slots are all taken from one whose free slots the waiting requests cannot use. Change: the coordinator samples free, occupied and unusable slots and waiting requests of each service in each tick; log service_queue once a second while requests wait, and two gauges.

--- a/include/banyanring/fleet/slot_allocator.h
+++ b/include/banyanring/fleet/slot_allocator.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "banyanring/fleet/admission_queue.h"
+#include "banyanring/fleet/service_occupancy.h"
 #include "banyanring/fleet/slot_type.h"
 
 #include <map>
@@ -81,6 +82,13 @@
      */
     auto freeSlotCounts(Instant now) const -> std::vector<FreeSlotCount>;
 
+    /**
+     * Counts slots and waiting requests.
+     * @param now Current time.
+     * @return By name of the service, for all services with a server that this node coordinates.
+     */
+    auto occupancy(Instant now) const -> std::map<std::string, OccupancySample>;
+
     /** @param share This node's share of the limits that its servers name. */
     auto setLimitShare(double share) -> void
     {
--- a/include/banyanring/gateway/slot_coordination.h
+++ b/include/banyanring/gateway/slot_coordination.h
@@ -54,6 +54,12 @@
         return this->allocator.waitingCount();
     }
 
+    /** @return Slots and waiting requests since the last log line, by coordinated service. */
+    auto occupancy() const -> const std::map<std::string, fleet::ServiceOccupancy> &
+    {
+        return this->serviceOccupancy;
+    }
+
 private:
     /** A slot request of this node, kept until the slot is released. */
     struct PendingRequest
@@ -88,6 +94,7 @@
     auto sendHeldSlots(Instant now, bool reassigned) -> void;
     auto sendFreeSlots() -> void;
     auto resendRequests(Instant now) -> void;
+    auto recordOccupancy(Instant now) -> void;
 
     PeerSocket &socket;
     NodeState &state;
@@ -104,6 +111,7 @@
     std::map<std::pair<std::uint32_t, std::string>, FreeSlotReport> freeSlotReports;
     std::map<std::string, Instant> backoffUntil; ///< By coordinator that did not reply in time.
     std::mt19937_64 random;
+    std::map<std::string, fleet::ServiceOccupancy> serviceOccupancy; ///< By service.
     std::uint64_t ticks = 0;
     bool granting = false;
 };
--- a/src/fleet/slot_allocator.cpp
+++ b/src/fleet/slot_allocator.cpp
@@ -72,7 +72,7 @@
     const bool isLong =
         this->queues[service].isLong(request.profile) || !this->hasUnlimitedServer(service, now);
     const auto isAllowed = [&](const Server &server) {
-        return server.coordinatedHere && this->usable(server, now)
+        return server.coordinatedHere && this->usable(server, now) && !server.isProbed(now)
                && server.requestLimit.permits(this->limitShare, isLong, now)
                && std::find(request.excludedServers.begin(), request.excludedServers.end(),
                             server.hash)
@@ -270,6 +270,32 @@
     }
 }
 
+auto SlotAllocator::occupancy(Instant now) const -> std::map<std::string, OccupancySample>
+{
+    std::map<std::string, OccupancySample> samples;
+    for (const auto &[id, server] : this->servers.all()) {
+        if (!server->coordinatedHere) {
+            continue;
+        }
+        const auto &registration = server->registration;
+        auto &sample = samples[registration.service];
+        if (!this->usable(*server, now) || server->isCold(now) || now < server->ejectedUntil) {
+            sample.unusableSlots += registration.slots;
+            continue;
+        }
+        const auto occupied = std::min(server->occupiedSlots(now), registration.slots);
+        sample.occupiedSlots += occupied;
+        sample.freeSlots += registration.slots - occupied;
+    }
+    for (const auto &[number, waiting] : this->waitingRequests) {
+        const auto found = samples.find(waiting.service);
+        if (found != samples.end()) {
+            ++found->second.waitingRequests;
+        }
+    }
+    return samples;
+}
+
 auto SlotAllocator::freeSlotCounts(Instant now) const -> std::vector<FreeSlotCount>
 {
     std::map<std::uint32_t, std::uint32_t> freeSlots;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -130,6 +130,20 @@
           std::count_if(this->state.servers.all().begin(), this->state.servers.all().end(),
                         [](const auto &item) { return item.second->leaving; }));
     gauge("idle_server_connections", this->serverConnectionPool.idleCount());
+    text << "# TYPE banyanring_coordinated_slots gauge\n"
+         << "# TYPE banyanring_coordinated_waiting gauge\n";
+    for (const auto &[service, occupancy] : this->slotCoordination.occupancy()) {
+        const auto &sample = occupancy.lastSample();
+        const auto slots = [&](std::string_view state, std::uint32_t count) {
+            text << "banyanring_coordinated_slots{service=\"" << service << "\",state=\"" << state
+                 << "\"} " << count << '\n';
+        };
+        slots("free", sample.freeSlots);
+        slots("occupied", sample.occupiedSlots);
+        slots("unusable", sample.unusableSlots);
+        text << "banyanring_coordinated_waiting{service=\"" << service << "\"} "
+             << sample.waitingRequests << '\n';
+    }
     text << "# TYPE banyanring_peer_sent_bytes gauge\n";
     for (const auto &[type, sent] : this->peerSocket.traffic().sentByType) {
         text << "banyanring_peer_sent_bytes{type=\"" << messageTypeName(type) << "\"} "
--- a/src/gateway/slot_coordination.cpp
+++ b/src/gateway/slot_coordination.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint64_t AssignmentTicks = 2; ///< Ticks between assignments of coordinators.
 constexpr std::uint64_t HeldSlotsTicks = 10; ///< Ticks between reports of held slots.
 constexpr std::uint64_t FreeSlotsTicks = 2; ///< Ticks between reports of free slots.
+constexpr std::uint64_t OccupancyLogTicks = 20; ///< Ticks between log lines of a full service.
 /** A server that is used at all states its limit within this time, so older ones need no repeat. */
 constexpr Duration MaxLimitAge = std::chrono::seconds(10);
 constexpr Duration FreeSlotsTtl = milliseconds(300); ///< Three report intervals.
@@ -273,6 +274,29 @@
         fleet::coordinatorLimitShare(this->state.members.reachableFraction(now)));
     this->grantWaiting();
     this->resendRequests(now);
+    this->recordOccupancy(now);
+}
+
+auto SlotCoordination::recordOccupancy(Instant now) -> void
+{
+    if (this->ticks % OccupancyLogTicks == 0) {
+        for (const auto &[service, occupancy] : this->serviceOccupancy) {
+            if (occupancy.meanWaiting() == 0) {
+                continue;
+            }
+            logEvent("service_queue",
+                     {{"service", service},
+                      {"waiting_part", occupancy.waitingFraction()},
+                      {"waiting", occupancy.meanWaiting()},
+                      {"waiting_most", static_cast<std::int64_t>(occupancy.maxWaiting())},
+                      {"slots_free", occupancy.meanFreeSlots()},
+                      {"slots_occupied", occupancy.meanOccupiedSlots()}});
+        }
+        this->serviceOccupancy.clear();
+    }
+    for (const auto &[service, sample] : this->allocator.occupancy(now)) {
+        this->serviceOccupancy[service].record(sample);
+    }
 }
 
 auto SlotCoordination::assignCoordinators(Instant now) -> void
