Servers that crashed or were replaced: one probe at a time, and requests keep their place

Change: one request every 300 ms probes a server after a backoff until it responds; 421 is reported as unreachable; a request that its server did not run keeps its deadlines and is not rejected for later ones. Test ports are free for UDP as well: a parallel run of the tests had failed with 'Address already in use' in StoreMirrorSyncFixture.

--- a/include/banyanring/fleet/server_registry.h
+++ b/include/banyanring/fleet/server_registry.h
@@ -75,7 +75,8 @@
     /** Registration gone; still used until then in case only the store lost it. */
     Instant removeAt = Never;
     Instant backoffUntil{}; ///< Connections failed; not used until this time.
-    Duration backoff{}; ///< Length of the last backoff; doubles each time.
+    Duration backoff{}; ///< Length of the last backoff; doubles each time, 0 after a response.
+    Instant nextProbeAt{}; ///< While it has not responded after a backoff, one request at a time.
     bool wasUnreachable = false; ///< Was unreachable and has not responded since.
     /** Failed too often; until this time it is only used if no other server is left. */
     Instant ejectedUntil{};
@@ -101,6 +102,12 @@
     {
         return now < this->deferredUntil;
     }
+    /** @return Whether a request after a backoff was just sent, and the server may still be down.
+     */
+    auto isProbed(Instant now) const -> bool
+    {
+        return this->backoff > Duration(0) && now < this->nextProbeAt;
+    }
     /** @return Whether the server is cold. */
     auto isCold(Instant now) const -> bool
     {
@@ -168,6 +175,9 @@
      */
     static auto markUnreachable(Server &server, Instant now) -> bool;
 
+    /** Ends the backoff of a server that responded to this or another node. */
+    static auto endBackoff(Server &server) -> void;
+
     /**
      * Ends the backoff of a server that responded. One that was unreachable may have restarted and
      * counts as cold again.
--- a/include/banyanring/gateway/active_request.h
+++ b/include/banyanring/gateway/active_request.h
@@ -156,6 +156,8 @@
     auto chooseService() -> void;
     auto enqueue(const fleet::WaitBudget &budget) -> void;
     auto enqueueRetry(Duration maxWait) -> void;
+    /** Queues a request that its server did not run, with the deadlines that it had before. */
+    auto requeueUnexecuted() -> void;
     auto nextSlotRequestId() -> std::uint64_t;
     auto makeSlotRequest(std::uint64_t id, Instant now) -> fleet::SlotRequest;
     auto requestSlot() -> bool;
--- a/src/fleet/server_registry.cpp
+++ b/src/fleet/server_registry.cpp
@@ -201,10 +201,15 @@
     return true;
 }
 
-auto ServerRegistry::markReachable(Server &server, Duration coldPeriod, Instant now) -> bool
+auto ServerRegistry::endBackoff(Server &server) -> void
 {
     server.backoff = Duration(0);
     server.backoffUntil = Instant(0);
+}
+
+auto ServerRegistry::markReachable(Server &server, Duration coldPeriod, Instant now) -> bool
+{
+    endBackoff(server);
     if (!server.wasUnreachable) {
         return false;
     }
--- a/src/fleet/slot_allocator.cpp
+++ b/src/fleet/slot_allocator.cpp
@@ -13,6 +13,8 @@
 constexpr Duration RequestLifetime = milliseconds(500);
 /** A node's list of held slots may have been sent before the grant arrived there. */
 constexpr Duration GrantTransitTime = milliseconds(300);
+/** Most servers respond within this time; a free slot should not stay unused for longer. */
+constexpr Duration ProbeInterval = milliseconds(300);
 /**
  * Once this many requests found no server, those behind them rarely find one; limits the work per
  * round.
@@ -87,6 +89,9 @@
     }
     auto &server = *choice.server;
     server.requestLimit.recordRequest(this->limitShare, now);
+    if (server.backoff > Duration(0)) {
+        server.nextProbeAt = now + ProbeInterval;
+    }
     Grant grant{choice.server, request.profile, 0, 0, now, service};
     grant.promptWork = request.profile.promptWork;
     grant.workAhead =
@@ -154,6 +159,7 @@
             ahead = std::max(0.0, ahead - grant.promptWork);
         }
         grant.promptWork = 0;
+        ServerRegistry::endBackoff(*grant.server);
         return;
     }
     this->recordEvent(grant, report, now);
@@ -174,8 +180,7 @@
         recordResponse(server, grant.profile, grant.workAhead, report.firstByte, report.rest,
                        report.outputTokens);
         this->servers.recordOutcome(server, AttemptOutcome::Succeeded, now);
-        server.backoffUntil = Instant(0);
-        server.backoff = Duration(0);
+        ServerRegistry::endBackoff(server);
         break;
     case SlotEvent::Failed:
         this->servers.recordOutcome(server, AttemptOutcome::Failed, now);
@@ -279,7 +284,8 @@
         }
         const auto &registration = server->registration;
         auto &sample = samples[registration.service];
-        if (!this->usable(*server, now) || server->isCold(now) || now < server->ejectedUntil) {
+        if (!this->usable(*server, now) || server->isCold(now) || now < server->ejectedUntil
+            || server->isProbed(now)) {
             sample.unusableSlots += registration.slots;
             continue;
         }
@@ -306,7 +312,7 @@
         auto &freeOfService = freeSlots[hashName(server->registration.service)];
         const auto occupied = server->occupiedSlots(now);
         if (this->usable(*server, now) && !server->isCold(now) && now >= server->ejectedUntil
-            && occupied < server->registration.slots) {
+            && !server->isProbed(now) && occupied < server->registration.slots) {
             const auto freeOfServer = server->registration.slots - occupied;
             freeOfService += static_cast<std::uint32_t>(std::min<double>(
                 freeOfServer, server->requestLimit.allowance(this->limitShare, now)));
--- a/src/gateway/active_request.cpp
+++ b/src/gateway/active_request.cpp
@@ -266,6 +266,13 @@
     this->enqueue({now + RetryLatencyTarget, now + maxWait});
 }
 
+auto ActiveRequest::requeueUnexecuted() -> void
+{
+    const auto now = this->scheduler.clock();
+    this->enqueue({std::max(this->latencyDeadline, now + RetryLatencyTarget),
+                   std::max(this->queueDeadline, now + this->retryWait())});
+}
+
 auto ActiveRequest::estimatedCost() const -> double
 {
     return 1 + this->profile.promptWork + this->profile.expectedOutputTokens;
--- a/src/gateway/active_request_exchange.cpp
+++ b/src/gateway/active_request_exchange.cpp
@@ -144,7 +144,7 @@
         } else {
             this->triedServers.insert(id);
             this->addStep("unreachable", id);
-            this->enqueueRetry(this->retryWait());
+            this->requeueUnexecuted();
         }
     } else {
         this->handleServerFailure(failure == ExchangeFailure::NoResponse  ? "no_answer"
@@ -183,7 +183,9 @@
     const auto id = server.registration.id;
     const bool hasSpareSlots = 2 * server.occupiedSlots(now) < server.registration.slots;
     this->recordRejection(server, this->response);
-    this->slotEventOverride = fleet::SlotEvent::Rejected;
+    // The server at this address has gone: the coordinator must not grant its slots again soon.
+    this->slotEventOverride =
+        this->response.misdirected ? fleet::SlotEvent::Unreachable : fleet::SlotEvent::Rejected;
     this->endExchange(hasSpareSlots && !this->response.retryAfter ? fleet::AttemptOutcome::Failed
                                                                   : fleet::AttemptOutcome::Neutral);
     this->addStep("rejected", id + " status " + std::to_string(this->response.status));
@@ -191,7 +193,7 @@
     auto &state = this->scheduler.state;
     if (this->dispatches < MaxDispatches && now + MinRetryTime < this->deadline
         && state.retryBudget.tryTake(this->service, state.members.fleetSize(now), now)) {
-        this->enqueueRetry(this->retryWait());
+        this->requeueUnexecuted();
         return;
     }
     this->rejectQueued();
--- a/src/gateway/active_request_slots.cpp
+++ b/src/gateway/active_request_slots.cpp
@@ -150,7 +150,8 @@
     const bool isFirst = !std::exchange(this->waitReported, true);
     if (isFirst && !this->rejectLongWait(wait)) {
         this->addStep("queued", "expected " + formatSeconds(wait) + " s");
-    } else if (!isFirst && this->scheduler.clock() + wait > this->queueDeadline) {
+    } else if (!isFirst && this->dispatches == 0
+               && this->scheduler.clock() + wait > this->queueDeadline) {
         this->addStep("overtaken", "expected " + formatSeconds(wait) + " s");
         this->rejectQueued();
     }
--- a/tests/fleet/loopback.h
+++ b/tests/fleet/loopback.h
@@ -6,20 +6,32 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <functional>
 
 namespace banyanring::test {
 
 constexpr auto Loopback = "127.0.0.1"; ///< Address that the test listeners bind.
 
-/** @return A TCP port that is free at the time of the call. */
+/**
+ * @return A port that is free for TCP and UDP at the time of the call; a peer socket binds it for
+ * UDP, where another process may use the same number.
+ */
 inline auto freePort() -> std::uint16_t
 {
     namespace asio = boost::asio;
     asio::io_context context;
-    asio::ip::tcp::acceptor acceptor(
-        context, asio::ip::tcp::endpoint(asio::ip::make_address_v4(Loopback), 0));
-    return acceptor.local_endpoint().port();
+    const auto address = asio::ip::make_address_v4(Loopback);
+    for (;;) {
+        asio::ip::tcp::acceptor acceptor(context, asio::ip::tcp::endpoint(address, 0));
+        const auto port = acceptor.local_endpoint().port();
+        asio::ip::udp::socket socket(context, asio::ip::udp::v4());
+        boost::system::error_code error;
+        socket.bind(asio::ip::udp::endpoint(address, port), error);
+        if (!error) {
+            return port;
+        }
+    }
 }
 
 /**
--- a/tests/fleet/scheduler_slot_tests.cpp
+++ b/tests/fleet/scheduler_slot_tests.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(caller_disconnectsWhileQueued_cancelsSlotRequest);
     CPPUNIT_TEST(grant_forEndedRequest_isCancelled);
     CPPUNIT_TEST(request_rejectedByServer_excludesItFromNextSlotRequest);
+    CPPUNIT_TEST(request_notRunByServer_keepsItsDeadlines);
+    CPPUNIT_TEST(request_misdirected_reportsTheServerAsUnreachable);
     CPPUNIT_TEST(request_serverLeaving_excludesItFromItsSlotRequest);
     CPPUNIT_TEST(request_grantOfLeavingServer_isRequestedAgain);
     CPPUNIT_TEST(request_manyServersLeaving_excludesABoundedNumber);
@@ -205,6 +207,34 @@
                        == std::vector<std::uint32_t>{this->state->servers.find("p1")->hash});
     }
 
+    /** A request that was granted a server that turned out to be gone was rejected for overload. */
+    auto request_notRunByServer_keepsItsDeadlines() -> void
+    {
+        const auto caller = this->submit(this->request("/order/1"));
+        this->replyGranted("p1");
+        this->lastDispatch().observer->onExchangeFailed(ExchangeFailure::NotSent);
+        const auto &requests = this->slotPort.slotRequests;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, requests.size());
+        CPPUNIT_ASSERT(requests[1].latencyBudget == requests[0].latencyBudget);
+        CPPUNIT_ASSERT(requests[1].queueTimeout == requests[0].queueTimeout);
+        this->replyQueued(seconds(3));
+        this->replyQueued(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(0, caller->finalResponses);
+    }
+
+    /** The coordinator went on granting the slots of a server that another one had replaced. */
+    auto request_misdirected_reportsTheServerAsUnreachable() -> void
+    {
+        this->submit(this->request("/order/1"));
+        this->replyGranted("p1");
+        auto response = header(421);
+        response.misdirected = true;
+        response.notExecuted = true;
+        this->lastDispatch().observer->onResponseHeader(response);
+        this->lastDispatch().observer->onResponseEnd();
+        CPPUNIT_ASSERT(this->slotPort.events == std::vector<SlotEvent>{SlotEvent::Unreachable});
+    }
+
     /** Sends a request to the server, whose response says that it is about to stop. */
     auto answerLeaving(const std::string &id) -> void
     {
--- a/tests/fleet/slot_allocator_tests.cpp
+++ b/tests/fleet/slot_allocator_tests.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(grantWaiting_severalNodes_mostUrgentFirst);
     CPPUNIT_TEST(request_shortAndAllServersLimited_isNotHeldBackForLongOnes);
     CPPUNIT_TEST(report_rejected_countsTheServerAsFull);
+    CPPUNIT_TEST(report_unreachable_oneRequestProbesTheServer);
     CPPUNIT_TEST(report_failures_ejectTheServer);
     CPPUNIT_TEST(report_firstByte_removesThePromptWork);
     CPPUNIT_TEST(heldSlots_newCoordinator_recordsThem);
@@ -209,6 +210,22 @@
         CPPUNIT_ASSERT(next.serverHash != reply.serverHash);
     }
 
+    /** A server that is still down must not take a request for each of its slots after a backoff.
+     */
+    auto report_unreachable_oneRequestProbesTheServer() -> void
+    {
+        this->registry.find("b")->coordinatedHere = false;
+        this->requestSlot(this->makeRequest(2, 1));
+        this->reportEvent(2, 1, SlotEvent::Unreachable);
+        this->now = this->registry.find("a")->backoffUntil;
+        CPPUNIT_ASSERT(this->requestSlot(this->makeRequest(2, 2)).outcome == SlotOutcome::Granted);
+        CPPUNIT_ASSERT(this->requestSlot(this->makeRequest(2, 3)).outcome == SlotOutcome::Queued);
+        this->now += milliseconds(10);
+        CPPUNIT_ASSERT(this->allocator->grantWaiting(this->now).empty());
+        this->reportEvent(2, 2, SlotEvent::FirstByte);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->allocator->grantWaiting(this->now).size());
+    }
+
     auto report_failures_ejectTheServer() -> void
     {
         const auto failingServer = this->registry.find("a");
