Log: admit lines by kind, count and report the dropped ones

Cause: the log tells the number of dropped lines, but not of which kind, so proportions of served, rejected and failed requests cannot be computed from it.

Change: LogAdmission replaces the limit by level. Lines of finished requests are served, rejected (overload, quota, wrong path or key) or failed; all others are state. The event log_lines_dropped has the counts by kind in the second after a drop, also if no other line follows, and when the log closes; it counts as a line of its second. lines_dropped stays as it was. The metric banyanring_log_lines_dropped_total has the counts since the start. The check of the tables in docs/OPERATIONS.md includes the events of log.cpp.

--- a/include/banyanring/gateway/active_request.h
+++ b/include/banyanring/gateway/active_request.h
@@ -1,6 +1,7 @@
 /** @file active_request.h One request in progress, from its arrival to its final response. */
 #pragma once
 
+#include "banyanring/adapters/log_admission.h"
 #include "banyanring/gateway/event_stream_parser.h"
 #include "banyanring/gateway/move_attempt.h"
 #include "banyanring/gateway/response_buffer.h"
@@ -298,4 +299,12 @@
  */
 auto outcomeName(RequestOutcome outcome) -> std::string_view;
 
+/**
+ * Returns the kind of the log line of a finished request.
+ * @param outcome The outcome.
+ * @param status Status code that the caller got.
+ * @return Its kind.
+ */
+auto logKindOf(RequestOutcome outcome, int status) -> LogKind;
+
 } // namespace banyanring::gateway
--- a/src/gateway/active_request.cpp
+++ b/src/gateway/active_request.cpp
@@ -77,6 +77,22 @@
     return "unknown";
 }
 
+auto logKindOf(RequestOutcome outcome, int status) -> LogKind
+{
+    switch (outcome) {
+    case RequestOutcome::Answered:
+        return status < 500 ? LogKind::Served : LogKind::Failed;
+    case RequestOutcome::Overload:
+    case RequestOutcome::OverQuota:
+    // A caller with a wrong path or key must not displace the lines of failed requests.
+    case RequestOutcome::NoRoute:
+    case RequestOutcome::BadKey:
+        return LogKind::Rejected;
+    default:
+        return LogKind::Failed;
+    }
+}
+
 ActiveRequest::ActiveRequest(Scheduler &scheduler, std::uint64_t number, CallerPortPtr caller,
                              CallerRequest request)
     : scheduler(scheduler), number(number), caller(std::move(caller)), request(std::move(request)),
@@ -426,7 +442,6 @@
     const auto firstByte = std::chrono::duration_cast<milliseconds>(
         this->firstByteAt > Instant(0) ? this->firstByteAt - this->request.arrivedAt : Duration(0));
     const auto maxGap = std::chrono::duration_cast<milliseconds>(this->maxEventGap);
-    const bool expected = outcome == RequestOutcome::Answered && status < 500;
     logEvent("request",
              {{"request_id", this->request.attemptId},
               {"outcome", std::string(outcomeName(outcome))},
@@ -441,7 +456,7 @@
               {"prompt_tokens", this->request.promptTokens},
               {"expected_output_tokens", this->profile.expectedOutputTokens},
               {"steps", std::move(stepTexts)}},
-             expected ? LogLevel::Info : LogLevel::Warning);
+             logKindOf(outcome, status));
     this->scheduler.addTrace({this->request.attemptId, std::move(this->steps)});
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -245,6 +245,7 @@
     }
     if (this->ticks % CheckIntervalTicks == 0) {
         this->periodicChecks(now);
+        logDroppedLines();
     }
     if (this->ticks % SettingsIntervalTicks == 0) {
         this->reloadSettings(false);
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -1,6 +1,7 @@
 /** @file gateway_state.cpp State dump, request traces and metrics for operators. */
 #include "gateway.h"
 
+#include "banyanring/adapters/log_func.h"
 #include "banyanring/ports/clock_func.h"
 
 #include <algorithm>
@@ -130,6 +131,12 @@
           std::count_if(this->state.servers.all().begin(), this->state.servers.all().end(),
                         [](const auto &item) { return item.second->leaving; }));
     gauge("idle_server_connections", this->serverConnectionPool.idleCount());
+    text << "# TYPE banyanring_log_lines_dropped_total counter\n";
+    const auto droppedLines = droppedLogLines();
+    for (std::size_t kind = 0; kind < LogKindCount; ++kind) {
+        text << "banyanring_log_lines_dropped_total{kind=\""
+             << logKindName(static_cast<LogKind>(kind)) << "\"} " << droppedLines.at(kind) << '\n';
+    }
     text << "# TYPE banyanring_peer_sent_bytes gauge\n";
     for (const auto &[type, sent] : this->peerSocket.traffic().sentByType) {
         text << "banyanring_peer_sent_bytes{type=\"" << messageTypeName(type) << "\"} "
--- a/tests/process/docs_tests.py
+++ b/tests/process/docs_tests.py
@@ -7,6 +7,7 @@
 root = pathlib.Path(sys.argv[1])
 code = "\n".join(path.read_text() for directory in ("src/gateway", "src/fleet", "platform")
                  for path in sorted((root / directory).glob("*.cpp")))
+code += (root / "src/adapters/log.cpp").read_text()
 docs = (root / "docs" / "OPERATIONS.md").read_text()
 
 
@@ -22,7 +23,7 @@
     print(f"{what}: all {len(in_code)} are documented")
 
 
-events = set(re.findall(r'logEvent\(\s*"([a-z_]+)"', code))
+events = set(re.findall(r'(?:logEvent|writeLine)\(\s*"([a-z_]+)"', code))
 for alternatives in re.findall(r'logEvent\(\s*\w+ \? "([a-z_]+)" : "([a-z_]+)"', code):
     events.update(alternatives)
 check("log events", documented_names("Log events"), events)
--- a/tests/unit/log_admission_tests.cpp
+++ b/tests/unit/log_admission_tests.cpp
@@ -1,5 +1,6 @@
 /** @file log_admission_tests.cpp Which log lines are written while there are too many. */
 #include "banyanring/adapters/log_admission.h"
+#include "banyanring/gateway/active_request.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <numeric>
@@ -29,6 +30,7 @@
     CPPUNIT_TEST(admit_allAboveQuota_leastImportantIsDroppedFirst);
     CPPUNIT_TEST(admit_fewLinesAfterOverload_allAreWritten);
     CPPUNIT_TEST(counts_linesDropped_addUpEachSecond);
+    CPPUNIT_TEST(kind_outcomes_wrongKeyIsNoFailure);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -148,6 +150,18 @@
         CPPUNIT_ASSERT(!this->log.takeDroppedCounts(this->now + seconds(1)));
     }
 
+    /** Callers with a wrong key must not displace the lines of failed requests. */
+    auto kind_outcomes_wrongKeyIsNoFailure() -> void
+    {
+        using gateway::logKindOf;
+        using gateway::RequestOutcome;
+        CPPUNIT_ASSERT(LogKind::Served == logKindOf(RequestOutcome::Answered, 200));
+        CPPUNIT_ASSERT(LogKind::Failed == logKindOf(RequestOutcome::Answered, 500));
+        CPPUNIT_ASSERT(LogKind::Rejected == logKindOf(RequestOutcome::Overload, 503));
+        CPPUNIT_ASSERT(LogKind::Rejected == logKindOf(RequestOutcome::BadKey, 401));
+        CPPUNIT_ASSERT(LogKind::Failed == logKindOf(RequestOutcome::TimedOut, 503));
+    }
+
 private:
     LogAdmission log{Limit};
     Instant now = seconds(1000);
