Store reader: report an overdue answer before its request fails

Cause: a watch waited 1.5 s at the store and failed 1.2 s later. Until then a watcher that got no answers reported that it reached the store.

Change: a store that answers does so at least every 0.7 s. A watcher whose answer is 0.4 s overdue reports its contact as unknown (log store_silent); its request continues until it fails, 1.2 s after the answer was due. The pause of 0.5 s follows only answers with changes, or early empty ones.

--- a/include/banyanring/fleet/peer_state_type.h
+++ b/include/banyanring/fleet/peer_state_type.h
@@ -31,10 +31,14 @@
     std::uint64_t configVersion = 0; ///< Version of the configuration in force.
     std::uint64_t storeRevision = 0; ///< Store revision that its mirror has reached.
     bool watchesStore = false; ///< The node watches the store or tries to.
-    bool storeReachable = false; ///< The node watches the store and reached it recently.
+    /** The node watches the store, its last request succeeded, and no answer is overdue. */
+    bool storeReachable = false;
     Duration age{}; ///< Time since it was issued, summed over the hops.
     std::uint64_t storeEra = 0; ///< Era of storeRevision.
-    /** The node has begun to watch and no request has succeeded or failed yet. */
+    /**
+     * Its access to the store is unknown: no request has succeeded or failed since it began to
+     * watch, or the answer to the open one is overdue.
+     */
     bool storeUntried = false;
 
     /** @return Position of the store that the node's mirror has reached. */
--- a/src/gateway/store_mirror_sync.cpp
+++ b/src/gateway/store_mirror_sync.cpp
@@ -61,6 +61,12 @@
                   {"store_revision", static_cast<std::int64_t>(this->mirror.revision())}});
         this->updateStoreContact(bootClockNow());
     };
+    callbacks.onAnswerOverdue = [this] {
+        logEvent("store_silent",
+                 {{"store_era", static_cast<std::int64_t>(this->mirror.era())},
+                  {"store_revision", static_cast<std::int64_t>(this->mirror.revision())}});
+        this->updateStoreContact(bootClockNow());
+    };
     return callbacks;
 }
 
--- a/tests/fleet/killed_watcher_tests.cpp
+++ b/tests/fleet/killed_watcher_tests.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST_SUITE(KilledWatcherFixture);
     CPPUNIT_TEST(removedServer_watchersKilled_isUnusableAfterDrainTime);
     CPPUNIT_TEST(removedServer_watchersRestarted_isUnusableAfterDrainTime);
+    CPPUNIT_TEST(removedServer_watchersCutOff_isUnusableAfterDrainTime);
     CPPUNIT_TEST(expiredServer_storeWasAway_staysUsableAWhile);
     CPPUNIT_TEST_SUITE_END();
 
@@ -80,6 +81,13 @@
         CPPUNIT_ASSERT(this->removedInTime());
     }
 
+    /** Guards against a grace for removed servers while the peers' answers are overdue. */
+    auto removedServer_watchersCutOff_isUnusableAfterDrainTime() -> void
+    {
+        this->peersHaveRead = false;
+        CPPUNIT_ASSERT(this->removedInTime());
+    }
+
     auto expiredServer_storeWasAway_staysUsableAWhile() -> void
     {
         this->storeAway = true;
--- a/tests/fleet/store_reader_tests.cpp
+++ b/tests/fleet/store_reader_tests.cpp
@@ -1,4 +1,5 @@
 /** @file store_reader_tests.cpp Tests of the store reader against a fake store. */
+#include "banyanring/ports/clock_func.h"
 #include "loopback.h"
 #include "store_reader.h"
 
@@ -25,6 +26,10 @@
     CPPUNIT_TEST(store_failedPage_isResumed);
     CPPUNIT_TEST(store_unreachable_isReportedOnce);
     CPPUNIT_TEST(reader_restarted_resumesAtRevision);
+    CPPUNIT_TEST(watch_unanswered_isOverdueBeforeItFails);
+    CPPUNIT_TEST(watch_answeredLate_countsAsReachable);
+    CPPUNIT_TEST(watch_afterAChange_isAnsweredWithinTheInterval);
+    CPPUNIT_TEST(watch_emptyAnswersAtOnce_arePaced);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -44,6 +49,7 @@
         callbacks.onReachabilityChanged = [this](bool reachable, const std::string &) {
             (reachable ? this->reachableReports : this->unreachableReports) += 1;
         };
+        callbacks.onAnswerOverdue = [this] { ++this->overdueReports; };
         this->reader = std::make_unique<platform::StoreReader>(
             this->context, std::string(Loopback) + ":" + std::to_string(port), this->mirror,
             callbacks);
@@ -70,9 +76,13 @@
             this->historyGone = false;
             session->sendResponse({410, "Gone", {}, ""});
         } else if (is("kv-watch")) {
-            if (!this->watchBody.empty()) {
+            if (this->answersAtOnce) {
+                session->sendResponse({200, "OK", {}, EmptyWatch});
+            } else if (!this->watchBody.empty()) {
                 session->sendResponse({200, "OK", {}, std::exchange(this->watchBody, "")});
-            } // Otherwise the watch stays open.
+            } else {
+                this->openWatch = session;
+            }
         } else if (is("prefix=op/")) {
             session->sendResponse(
                 {200, "OK", {}, R"({"entries":[],"more_pages":false,"as_of":5})"});
@@ -183,7 +193,66 @@
         CPPUNIT_ASSERT_EQUAL(requestCount + 1, this->requestTargets.size());
     }
 
+    /** Leaves a watch unanswered; returns whether it is reported as overdue in time. */
+    auto awaitOverdueWatch() -> bool
+    {
+        using platform::StoreReader;
+        this->reader->start();
+        CPPUNIT_ASSERT(this->awaitWatches(1));
+        const auto sentAt = bootClockNow();
+        return runUntil(this->context, [this] { return this->overdueReports == 1; })
+               && bootClockNow() - sentAt
+                      < StoreReader::AnswerInterval + StoreReader::RequestTimeout;
+    }
+
+    /** Guards against a watcher that counts as reaching the store while its requests hang. */
+    auto watch_unanswered_isOverdueBeforeItFails() -> void
+    {
+        CPPUNIT_ASSERT(this->awaitOverdueWatch());
+        CPPUNIT_ASSERT(!this->reader->reachable());
+        CPPUNIT_ASSERT(!this->reader->failing());
+        CPPUNIT_ASSERT(runUntil(this->context, [this] { return this->reader->failing(); }));
+        CPPUNIT_ASSERT_EQUAL(1, this->unreachableReports);
+        CPPUNIT_ASSERT_EQUAL(1, this->overdueReports);
+    }
+
+    /** Guards against a slow store that counts as lost, and a watcher that stays silent. */
+    auto watch_answeredLate_countsAsReachable() -> void
+    {
+        CPPUNIT_ASSERT(this->awaitOverdueWatch());
+        this->openWatch->sendResponse({200, "OK", {}, EmptyWatch});
+        CPPUNIT_ASSERT(runUntil(this->context, [this] { return this->reader->reachable(); }));
+        CPPUNIT_ASSERT_EQUAL(2, this->reachableReports);
+        CPPUNIT_ASSERT_EQUAL(0, this->unreachableReports);
+    }
+
+    /** Guards against an interval that the pause after a change extends. */
+    auto watch_afterAChange_isAnsweredWithinTheInterval() -> void
+    {
+        this->watchBody =
+            R"({"events":[{"key":"servers/a","mod_revision":9,"removed":true}],"as_of":9})";
+        this->reader->start();
+        CPPUNIT_ASSERT(this->awaitWatches(1));
+        CPPUNIT_ASSERT(this->requestTargets.back().ends_with("wait_ms=700"));
+        CPPUNIT_ASSERT(this->awaitWatches(2));
+        CPPUNIT_ASSERT(this->requestTargets.back().ends_with("wait_ms=200"));
+    }
+
+    /** Guards against requests in a tight loop at a store that does not wait. */
+    auto watch_emptyAnswersAtOnce_arePaced() -> void
+    {
+        this->answersAtOnce = true;
+        this->reader->start();
+        CPPUNIT_ASSERT(this->awaitWatches(1));
+        const auto requestCount = this->requestTargets.size();
+        this->context.restart();
+        this->context.run_for(std::chrono::milliseconds(1200));
+        CPPUNIT_ASSERT(this->requestTargets.size() <= requestCount + 2);
+    }
+
 private:
+    static constexpr auto EmptyWatch = R"({"events":[],"as_of":5})";
+
     boost::asio::io_context context;
     std::unique_ptr<HttpListener> store;
     fleet::StoreMirror mirror;
@@ -192,9 +261,12 @@
     std::vector<int> queuedStatuses;
     std::vector<std::string> changedKeys;
     std::string watchBody;
+    CallerSessionPtr openWatch; ///< The last watch that was left unanswered.
+    bool answersAtOnce = false; ///< Watches without changes.
     bool historyGone = false;
     int unreachableReports = 0;
     int reachableReports = 0;
+    int overdueReports = 0;
 };
 
 } // namespace
--- a/tests/fleet/store_restore_tests.cpp
+++ b/tests/fleet/store_restore_tests.cpp
@@ -46,6 +46,7 @@
         callbacks.onReachabilityChanged = [this](bool reachable, const std::string &) {
             this->unreachableReports += reachable ? 0 : 1;
         };
+        callbacks.onAnswerOverdue = [] {};
         this->reader = std::make_unique<platform::StoreReader>(
             this->context, std::string(Loopback) + ":" + std::to_string(port), this->mirror,
             callbacks);
