Store watch election: an unknown contact is no failure

Cause: a higher-ranked watcher that did not report contact counted as failing, also while its request was still open, so that the next node waited 1.5 s per rank.

Change: only a failed request leads to the long step; until then the six successors take over at 0.3 s per rank. Nodes below them always use the long step, which bounds how many nodes try an unavailable store.

--- a/include/banyanring/fleet/store_watch_election.h
+++ b/include/banyanring/fleet/store_watch_election.h
@@ -10,9 +10,10 @@
  * Decides whether this node watches the store. One node of each failure domain does, or two if
  * there are fewer than three domains; the others receive changes from them. The nodes are ranked by
  * hash: the highest ranked ones watch, and the next ones take over one after another while too few
- * reach the store. This needs no agreement between nodes: an extra watcher only costs store calls,
- * and a missing one is replaced as soon as the others notice. Watchers gossip to their successors
- * in each round, so that these notice within a second at any size of the fleet.
+ * reach the store, more slowly once a request has failed. This needs no agreement between nodes: an
+ * extra watcher only costs store calls, and a missing one is replaced as soon as the others notice.
+ * Watchers gossip to their successors in each round, so that these notice within a second at any
+ * size of the fleet that a watcher is silent, and within a round that it gets no answers.
  */
 class StoreWatchElection
 {
@@ -40,7 +41,7 @@
     struct DomainPeers
     {
         std::size_t reachingStore = 0; ///< Higher-ranked nodes that reach the store in this era.
-        std::size_t failing = 0; ///< Higher-ranked nodes that do not reach it.
+        std::size_t failing = 0; ///< Higher-ranked nodes whose last request to it failed.
         std::size_t higherRanked = 0; ///< Higher-ranked nodes.
         std::size_t requiredWatchers = 1; ///< Number of watchers that the domain needs.
     };
--- a/src/fleet/store_watch_election.cpp
+++ b/src/fleet/store_watch_election.cpp
@@ -18,8 +18,8 @@
 /** Delay between one node and the next, by rank. */
 constexpr Duration TakeoverStep = milliseconds(300);
 /**
- * Delay while higher-ranked nodes fail to reach the store: it is down, and further calls only add
- * load.
+ * Delay while requests of higher-ranked nodes fail, and for nodes ranked below the successors: the
+ * store may be down, and further calls only add load.
  */
 constexpr Duration OutageTakeoverStep = milliseconds(1500);
 constexpr std::size_t MaxTakeoverSteps = 6; ///< Limits the delay of the lowest-ranked node.
@@ -58,7 +58,7 @@
         // A node of an older era, such as one of the previous release, sends no changes of this
         // one.
         counts.reachingStore += status.storeReachable && status.storeEra >= ownEra ? 1 : 0;
-        counts.failing += status.watchesStore && !status.storeReachable ? 1 : 0;
+        counts.failing += status.failsToReachStore() ? 1 : 0;
     }
     if (others.higherRanked >= Successors) {
         others.higherRanked += silent.higherRanked;
@@ -83,10 +83,11 @@
     }
     Duration delay = StepDownDelay;
     if (shouldWatch) {
-        const auto step = others.failing > 0 ? OutageTakeoverStep : TakeoverStep;
         const auto nodesAhead = others.higherRanked < others.requiredWatchers
                                     ? 0
                                     : others.higherRanked - others.requiredWatchers + 1;
+        const auto step =
+            others.failing > 0 || nodesAhead > Successors ? OutageTakeoverStep : TakeoverStep;
         delay = step * static_cast<std::int64_t>(std::min(nodesAhead, MaxTakeoverSteps));
     }
     if (now - *this->changeDueSince >= delay && now - this->startedAt >= StartupDelay) {
