--- a/include/banyanring/gateway/request_type.h
+++ b/include/banyanring/gateway/request_type.h
@@ -58,6 +58,8 @@
     bool misdirected = false; ///< The address belongs to another server by now (status 421).
     /** Running and queued requests of the server, if reported. */
     std::optional<std::uint32_t> reportedRequests;
+    /** How long work takes on its machine at the moment, as a factor (1: as usual), if stated. */
+    std::optional<double> slowdown;
     /**
      * Requests per second that the server accepts from all nodes together, or NoRequestLimit;
      * unset if the response does not say.
