Use the momentary slowdown in placement, learned times and slot reports

Cause: requests were placed at servers that are slow at the moment, and the times measured there were learned as the servers' speed.

The factor goes to the coordinator with its age at the end of SlotReport. Reports of the coordinator's own node do not update its state, as its responses have done so. Metric banyanring_server_slowdown_reports_total, and the factor in the step "placed". Without a stated factor all factors are exactly 1, so nothing changes.

--- a/include/banyanring/fleet/placement.h
+++ b/include/banyanring/fleet/placement.h
@@ -59,9 +59,12 @@
  * @param firstByte Time from sending to the first byte of the response.
  * @param rest Time from the first byte to the end.
  * @param outputTokens Number of output tokens after the first byte.
+ * @param slowdown Momentary slowdown that the response states, if any; it is not learned as the
+ *                 server's speed.
  */
 auto recordResponse(Server &server, const RequestProfile &profile, double workAhead,
-                    Duration firstByte, Duration rest, double outputTokens) -> void;
+                    Duration firstByte, Duration rest, double outputTokens,
+                    std::optional<double> slowdown) -> void;
 
 /**
  * Estimates how long a server of average speed would work on a request.
@@ -71,7 +74,7 @@
 auto expectedServiceMs(const RequestProfile &profile) -> double;
 
 /**
- * Estimates the time until a server would send the first byte of a response.
+ * Estimates the time until a server would send the first byte of a response, at its usual speed.
  * @param server The server.
  * @param profile The request.
  * @return Milliseconds; a conservative default while nothing is known about the server.
--- a/include/banyanring/fleet/server_registry.h
+++ b/include/banyanring/fleet/server_registry.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "banyanring/fleet/fleet_config_type.h"
+#include "banyanring/fleet/momentary_slowdown.h"
 #include "banyanring/fleet/peer_state_type.h"
 #include "banyanring/fleet/request_limit.h"
 
@@ -87,6 +88,7 @@
     Instant lastDataAt{}; ///< When this node last received data from the server.
     Instant silentSince{}; ///< Start of the last silence that made a request leave the server.
     ServerStats stats; ///< Response times and failure rate.
+    MomentarySlowdown slowdown; ///< How long work takes at the moment, as the server states it.
     RequestLimit requestLimit; ///< Limit that the server names, on the requests of all nodes.
     Instant deferredUntil{}; ///< It gets nothing from this node until then.
     std::uint32_t overlongBodies = 0; ///< Bodies that were cut since its last success.
--- a/include/banyanring/gateway/request_metrics.h
+++ b/include/banyanring/gateway/request_metrics.h
@@ -41,6 +41,12 @@
         ++this->eventCounts[event];
     }
 
+    /** Counts a response that states the momentary slowdown of its server. */
+    auto countSlowdownReport() -> void
+    {
+        ++this->slowdownReports;
+    }
+
     /**
      * Exports all metrics.
      * @return Prometheus text format.
@@ -62,6 +68,7 @@
 
     std::map<Series, Latencies> latencies;
     std::map<std::string, std::uint64_t> eventCounts;
+    std::uint64_t slowdownReports = 0;
 };
 
 } // namespace banyanring::gateway
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -61,24 +61,36 @@
            + PreferenceSpread * static_cast<double>(hash >> 11U) / static_cast<double>(1ULL << 53U);
 }
 
+/** @return Expected time of an output, of which only the next moments are slowed down. */
+auto slowedOutputMs(double outputMs, double firstMs, double slowdown) -> double
+{
+    constexpr double SlowMs = static_cast<double>(MomentarySlowdown::Persistence.count()) / 1000;
+    const double slowedMs = std::min(outputMs, std::max(0.0, SlowMs - firstMs) / slowdown);
+    return outputMs + slowedMs * (slowdown - 1);
+}
+
 /** @return Expected cost of a request on a server, in milliseconds. */
 auto costOf(const Server &server, const RequestProfile &profile, Instant now) -> double
 {
     const double penalty = now < server.ejectedUntil ? EjectedPenaltyMs : 0;
     const auto occupied = static_cast<double>(server.occupiedSlots(now));
+    const double slowdown = server.slowdown.relativeFactor(server.slowdown.expectedFactor(now));
     if (!profile.engine) {
         const auto slots = static_cast<double>(std::max(1U, server.registration.slots));
         return penalty
-               + valueOr(server.stats.responseMs, DefaultResponseMs) * (1 + occupied / slots);
+               + slowdown * valueOr(server.stats.responseMs, DefaultResponseMs)
+                     * (1 + occupied / slots);
     }
     const auto &firstByteFit = server.stats.firstByteFit;
     const double promptMsPerToken =
-        firstByteFit.hasSamples() ? firstByteFit.slope() : DefaultPromptMsPerToken;
+        slowdown * (firstByteFit.hasSamples() ? firstByteFit.slope() : DefaultPromptMsPerToken);
     const double outputMsPerToken = valueOr(server.stats.outputMsPerToken, DefaultOutputMsPerToken);
-    const double firstMs = expectedFirstByteMs(server, profile);
-    const double outputMs = profile.expectedOutputTokens * outputMsPerToken;
-    const double maxOutputMs =
-        std::max(profile.maxOutputTokens, profile.expectedOutputTokens) * outputMsPerToken;
+    const double firstMs = slowdown * expectedFirstByteMs(server, profile);
+    const double outputMs =
+        slowedOutputMs(profile.expectedOutputTokens * outputMsPerToken, firstMs, slowdown);
+    const double maxOutputMs = slowedOutputMs(
+        std::max(profile.maxOutputTokens, profile.expectedOutputTokens) * outputMsPerToken, firstMs,
+        slowdown);
     const bool missesDeadline =
         profile.timeLeftMs > 0 && firstMs + maxOutputMs > TimeLeftFraction * profile.timeLeftMs;
     const bool missesTarget =
@@ -144,15 +156,18 @@
 }
 
 auto recordResponse(Server &server, const RequestProfile &profile, double workAhead,
-                    Duration firstByte, Duration rest, double outputTokens) -> void
+                    Duration firstByte, Duration rest, double outputTokens,
+                    std::optional<double> slowdown) -> void
 {
     const double firstMs = static_cast<double>(firstByte.count()) / 1000;
     const double restMs = static_cast<double>(rest.count()) / 1000;
+    const double factor = slowdown ? server.slowdown.relativeFactor(*slowdown) : 1;
     if (!profile.engine) {
-        updateAverage(server.stats.responseMs, firstMs + restMs);
+        updateAverage(server.stats.responseMs, (firstMs + restMs) / factor);
         return;
     }
-    server.stats.firstByteFit.addSample(workAhead, firstMs);
+    server.stats.firstByteFit.addSample(workAhead, firstMs / factor);
+    // The output spans several moments, which average out.
     if (outputTokens > 0 && restMs > 0) {
         updateAverage(server.stats.outputMsPerToken, restMs / outputTokens);
     }
--- a/src/fleet/slot_allocator.cpp
+++ b/src/fleet/slot_allocator.cpp
@@ -148,6 +148,10 @@
         return;
     }
     auto &grant = found->second;
+    // The responses to this node's own requests have updated the server's state already.
+    if (report.slowdown && report.incarnation != this->self) {
+        grant.server->slowdown.record(report.slowdown->factor, now - report.slowdown->age);
+    }
     if (report.event == SlotEvent::FirstByte) {
         if (report.incarnation != this->self) {
             auto &ahead = grant.server->peerLoad.promptWork;
@@ -172,7 +176,8 @@
     switch (report.event) {
     case SlotEvent::Succeeded:
         recordResponse(server, grant.profile, grant.workAhead, report.firstByte, report.rest,
-                       report.outputTokens);
+                       report.outputTokens,
+                       report.slowdown ? std::optional(report.slowdown->factor) : std::nullopt);
         this->servers.recordOutcome(server, AttemptOutcome::Succeeded, now);
         server.backoffUntil = Instant(0);
         server.backoff = Duration(0);
--- a/src/gateway/active_request_exchange.cpp
+++ b/src/gateway/active_request_exchange.cpp
@@ -3,6 +3,9 @@
 #include "banyanring/gateway/active_request.h"
 #include "request_headers.h"
 
+#include <array>
+#include <cstdio>
+
 namespace banyanring::gateway {
 
 namespace {
@@ -15,6 +18,17 @@
 constexpr Duration MaxRetryWait = milliseconds(500); ///< Maximum queue time of a retry.
 constexpr Duration MisdirectedBackoff = milliseconds(1500); ///< Until the store is corrected.
 
+/** @return Part of a log step; empty if this node knows no momentary slowdown of the server. */
+auto slowdownText(const fleet::Server &server, Instant now) -> std::string
+{
+    if (!server.slowdown.isStated()) {
+        return "";
+    }
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), ", slowdown %.2f", server.slowdown.expectedFactor(now));
+    return text.data();
+}
+
 } // namespace
 
 auto ActiveRequest::tryPlace() -> bool
@@ -85,7 +99,8 @@
     this->addStep("placed", newServer->registration.id + " holds "
                                 + std::to_string(newServer->occupiedSlots(now)) + "/"
                                 + std::to_string(newServer->registration.slots)
-                                + (coordinated ? "" : ", without coordinator"));
+                                + (coordinated ? "" : ", without coordinator")
+                                + slowdownText(*newServer, now));
     ++newServer->ownLoad.requests;
     newServer->ownLoad.promptWork += this->profile.promptWork;
     this->promptCounted = true;
--- a/src/gateway/active_request_response.cpp
+++ b/src/gateway/active_request_response.cpp
@@ -191,7 +191,8 @@
     const double outputTokens =
         (config != nullptr ? config->tokensPerEvent : 1) * std::max(0.0, eventCount - 1);
     fleet::recordResponse(*this->server, this->profile, this->promptWorkAhead,
-                          this->responseAt - this->sentAt, now - this->responseAt, outputTokens);
+                          this->responseAt - this->sentAt, now - this->responseAt, outputTokens,
+                          this->response.slowdown);
     this->outputTokens = outputTokens;
     if (eventCount > 0) {
         this->scheduler.recordOutputTokens(this->route->prefix, outputTokens);
--- a/src/gateway/active_request_slots.cpp
+++ b/src/gateway/active_request_slots.cpp
@@ -214,6 +214,9 @@
         report.requestLimit = {this->server->hash, *this->response.requestLimit,
                                now - this->responseAt};
     }
+    if (this->headerReceived && this->response.slowdown) {
+        report.slowdown = {*this->response.slowdown, now - this->responseAt};
+    }
     this->scheduler.slotPort->reportSlotEvent(report);
 }
 
--- a/src/gateway/active_request_statements.cpp
+++ b/src/gateway/active_request_statements.cpp
@@ -20,6 +20,10 @@
                                            : 0;
         server.reportedAt = now;
     }
+    if (header.slowdown) {
+        server.slowdown.record(*header.slowdown, now);
+        this->scheduler.metrics.countSlowdownReport();
+    }
     if (header.attemptId != this->request.attemptId) {
         return;
     }
--- a/src/gateway/request_metrics.cpp
+++ b/src/gateway/request_metrics.cpp
@@ -72,6 +72,8 @@
     for (const auto &[event, count] : this->eventCounts) {
         out << "banyanring_events_total{event=\"" << event << "\"} " << count << '\n';
     }
+    out << "# TYPE banyanring_server_slowdown_reports_total counter\n"
+        << "banyanring_server_slowdown_reports_total " << this->slowdownReports << '\n';
     return out.str();
 }
 
--- a/src/gateway/slot_codec.cpp
+++ b/src/gateway/slot_codec.cpp
@@ -15,8 +15,10 @@
                                 ProfileTuple, std::uint32_t, std::uint32_t, float, std::int64_t,
                                 std::int64_t, std::vector<std::uint32_t>, bool>;
 using ReplyTuple = std::tuple<int, std::uint64_t, std::uint8_t, std::uint32_t, std::int64_t>;
-using ReportTuple = std::tuple<int, std::uint64_t, std::uint64_t, std::uint8_t, std::int64_t,
-                               std::int64_t, float, std::vector<RequestLimitTuple>>;
+using SlowdownTuple = std::tuple<float, std::int64_t>; ///< Factor, age in microseconds.
+using ReportTuple =
+    std::tuple<int, std::uint64_t, std::uint64_t, std::uint8_t, std::int64_t, std::int64_t, float,
+               std::vector<RequestLimitTuple>, std::vector<SlowdownTuple>>;
 using HeldSlotTuple = std::tuple<std::uint64_t, std::uint32_t, float>;
 using HeldSlotsTuple =
     std::tuple<int, std::uint64_t, std::vector<HeldSlotTuple>, std::vector<RequestLimitTuple>>;
@@ -50,6 +52,19 @@
             0};
 }
 
+/** @return The momentary slowdown of a received list, unless it is empty or its item unusable. */
+auto fromTuples(const std::vector<SlowdownTuple> &tuples) -> std::optional<fleet::SlowdownReport>
+{
+    if (tuples.empty()) {
+        return std::nullopt;
+    }
+    const auto &[factor, microseconds] = tuples.front();
+    const Duration age(microseconds);
+    const bool isUsable = fleet::MomentarySlowdown::isValid(factor) && age >= Duration(0)
+                          && age <= fleet::MomentarySlowdown::MaxReportAge;
+    return isUsable ? std::optional(fleet::SlowdownReport{factor, age}) : std::nullopt;
+}
+
 } // namespace
 
 auto encodeSlotRequest(const fleet::SlotRequest &request) -> std::string
@@ -110,10 +125,15 @@
                       report.firstByte.count(),
                       report.rest.count(),
                       static_cast<float>(report.outputTokens),
+                      {},
                       {}};
     if (report.requestLimit) {
         std::get<7>(tuple).push_back(toTuple(*report.requestLimit));
     }
+    if (report.slowdown) {
+        std::get<8>(tuple).emplace_back(static_cast<float>(report.slowdown->factor),
+                                        report.slowdown->age.count());
+    }
     return packMessage(tuple);
 }
 
@@ -123,8 +143,8 @@
     if (!tuple) {
         return std::nullopt;
     }
-    const auto &[version, incarnation, requestId, event, firstByte, rest, outputTokens, limits] =
-        *tuple;
+    const auto &[version, incarnation, requestId, event, firstByte, rest, outputTokens, limits,
+                 slowdowns] = *tuple;
     const auto requestLimits = fromTuples(limits);
     return fleet::SlotReport{incarnation,
                              requestId,
@@ -133,7 +153,8 @@
                              Duration(rest),
                              outputTokens,
                              requestLimits.empty() ? std::nullopt
-                                                   : std::optional(requestLimits.front())};
+                                                   : std::optional(requestLimits.front()),
+                             fromTuples(slowdowns)};
 }
 
 auto encodeHeldSlots(const fleet::HeldSlots &heldSlots) -> std::string
--- a/src/gateway/slot_coordination.cpp
+++ b/src/gateway/slot_coordination.cpp
@@ -30,7 +30,7 @@
 /** @return A report that cancels a slot request or releases its slot. */
 auto makeCancellation(std::uint64_t incarnation, std::uint64_t requestId) -> fleet::SlotReport
 {
-    return {incarnation, requestId, fleet::SlotEvent::Neutral, {}, {}, 0, {}};
+    return {incarnation, requestId, fleet::SlotEvent::Neutral, {}, {}, 0, {}, {}};
 }
 
 } // namespace
--- a/tests/fleet/fake_slot_port.h
+++ b/tests/fleet/fake_slot_port.h
@@ -35,12 +35,16 @@
         if (report.requestLimit) {
             this->limits.push_back(report.requestLimit->perSecond);
         }
+        if (report.slowdown) {
+            this->slowdowns.push_back(report.slowdown->factor);
+        }
     }
 
     std::vector<fleet::SlotRequest> slotRequests;
     std::vector<std::uint64_t> cancelled;
     std::vector<fleet::SlotEvent> events;
     std::vector<double> limits; ///< Limits of servers that were reported.
+    std::vector<double> slowdowns; ///< Momentary slowdowns of servers that were reported.
     std::optional<fleet::SlotReply> reply; ///< Immediate reply, if any.
     /** Called at the next cancellation, which may grant a slot to another request. */
     std::function<void()> onCancel;
