Slot request: the weight of the organisation

Cause: a coordinator does not know the limits of the organisations of other nodes' requests. Change: SlotRequest contains the organisation's weight as its last field, in single precision. The wire version stays, as old nodes decode the message.

--- a/include/banyanring/fleet/slot_type.h
+++ b/include/banyanring/fleet/slot_type.h
@@ -22,6 +22,7 @@
     Duration queueTimeout{}; ///< Time left until it is rejected.
     std::vector<std::uint32_t> excludedServers; ///< Hashes of the servers that must not be granted.
     bool forwarded = false; ///< Another coordinator without a free slot forwarded it.
+    double organisationWeight = 0; ///< Rate limit of its organisation; 0 for none.
 };
 
 /** Outcome of a slot request. */
--- a/src/gateway/slot_codec.cpp
+++ b/src/gateway/slot_codec.cpp
@@ -13,7 +13,7 @@
 using ProfileTuple = std::tuple<bool, float, float, float, float, float, float>;
 using RequestTuple = std::tuple<int, std::uint64_t, std::uint64_t, std::string, std::uint32_t,
                                 ProfileTuple, std::uint32_t, std::uint32_t, float, std::int64_t,
-                                std::int64_t, std::vector<std::uint32_t>, bool>;
+                                std::int64_t, std::vector<std::uint32_t>, bool, float>;
 using ReplyTuple = std::tuple<int, std::uint64_t, std::uint8_t, std::uint32_t, std::int64_t>;
 using ReportTuple = std::tuple<int, std::uint64_t, std::uint64_t, std::uint8_t, std::int64_t,
                                std::int64_t, float, std::vector<RequestLimitTuple>>;
@@ -58,7 +58,8 @@
         RequestTuple{WireVersion, request.incarnation, request.id, request.replyAddress,
                      request.service, toTuple(request.profile), request.tier, request.organisation,
                      static_cast<float>(request.cost), request.latencyBudget.count(),
-                     request.queueTimeout.count(), request.excludedServers, request.forwarded});
+                     request.queueTimeout.count(), request.excludedServers, request.forwarded,
+                     static_cast<float>(request.organisationWeight)});
 }
 
 auto decodeSlotRequest(std::string_view bytes) -> std::optional<fleet::SlotRequest>
@@ -68,7 +69,8 @@
         return std::nullopt;
     }
     const auto &[version, incarnation, id, replyAddress, service, profile, tier, organisation, cost,
-                 latencyBudget, queueTimeout, excludedServers, forwarded] = *tuple;
+                 latencyBudget, queueTimeout, excludedServers, forwarded, organisationWeight] =
+        *tuple;
     return fleet::SlotRequest{incarnation,
                               id,
                               replyAddress,
@@ -80,7 +82,8 @@
                               Duration(latencyBudget),
                               Duration(queueTimeout),
                               excludedServers,
-                              forwarded};
+                              forwarded,
+                              organisationWeight};
 }
 
 auto encodeSlotReply(const fleet::SlotReply &reply) -> std::string
