Admission queue: order organisations by their fair shares

Cause: one organisation at 5.5 to 7.5 times its usual load; the former order by usage is unweighted and strict, so large organisations within their limits were served last. Change: if an organisation that waits or used the service recently has a weight (its rate_per_s limit, sent with each slot request), requests of a tier and lateness are ordered by FairShares' rank and then by deadline; otherwise the former order applies. Grants to waiting requests are counted by service and by whether the organisation was within its share (banyanring_queued_grants_total).

--- a/include/banyanring/fleet/admission_queue.h
+++ b/include/banyanring/fleet/admission_queue.h
@@ -1,11 +1,11 @@
 /** @file admission_queue.h Queue of the requests of one service that wait for a free slot. */
 #pragma once
 
+#include "banyanring/fleet/fair_shares.h"
 #include "banyanring/fleet/placement.h"
 
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace banyanring::fleet {
@@ -19,12 +19,23 @@
     double cost = 1; ///< Work of the request, in any unit that all requests of the queue share.
     Instant latencyDeadline{}; ///< Latest dispatch time at which it still meets its latency target.
     Instant queueDeadline{}; ///< It is rejected if it still waits at this time.
+    double weight = 0; ///< Weight of its organisation; 0 for none.
+};
+
+/** A waiting request in the order of dispatch. */
+struct OrderedRequest
+{
+    std::uint64_t number = 0; ///< Identifies the request in the queue.
+    /** Rank of its organisation by FairShares; nullopt if no organisation has a weight. */
+    std::optional<std::uint32_t> shareRank;
 };
 
 /**
  * Orders waiting requests by priority. Requests that can still meet their latency target come
- * first; among these the most urgent tier, then the organisation with the least recent usage, then
- * the earliest latency deadline. Requests that have missed theirs follow in the same order.
+ * first; among these the most urgent tier, then the organisation of the lowest rank by FairShares,
+ * then the earliest latency deadline. If no organisation has a weight, the one with the least
+ * recent usage comes first instead. Requests that have missed their deadline follow in the same
+ * order.
  */
 class AdmissionQueue
 {
@@ -42,8 +53,11 @@
     /**
      * Lists the waiting requests in the order in which they should be dispatched.
      * @param now Current time.
-     * @return Numbers of the requests.
+     * @return The requests.
      */
+    auto rankedOrder(Instant now) const -> std::vector<OrderedRequest>;
+
+    /** @return Numbers of the requests of rankedOrder(). */
     auto dispatchOrder(Instant now) const -> std::vector<std::uint64_t>;
 
     /**
@@ -51,8 +65,10 @@
      * @param organisation hashName of the organisation.
      * @param cost Work of the request.
      * @param now Current time.
+     * @param weight Weight of the organisation; 0 for none.
      */
-    auto recordUsage(std::uint32_t organisation, double cost, Instant now) -> void;
+    auto recordUsage(std::uint32_t organisation, double cost, Instant now, double weight = 0)
+        -> void;
 
     /**
      * Removes the requests that have reached their queue deadline.
@@ -86,17 +102,10 @@
     }
 
 private:
-    /** Exponentially decaying sum of an organisation's dispatched work. */
-    struct Usage
-    {
-        double decayedCost = 0;
-        Instant updatedAt{};
-    };
-
-    auto usage(std::uint32_t organisation, Instant now) const -> double;
+    auto shareRanks(Instant now) const -> std::optional<FairShares::Ranks>;
 
     std::vector<QueuedRequest> waiting;
-    std::unordered_map<std::uint32_t, Usage> usages;
+    FairShares shares;
 };
 
 /** Waiting requests of a service, and the rate at which it serves them. */
--- a/include/banyanring/fleet/slot_allocator.h
+++ b/include/banyanring/fleet/slot_allocator.h
@@ -16,6 +16,13 @@
     SlotReply reply;
 };
 
+/** Grants to waiting requests of a service whose organisations have weights. */
+struct QueuedGrantCounts
+{
+    std::uint64_t withinShare = 0; ///< The organisation had rank 0.
+    std::uint64_t aboveShare = 0; ///< The organisation had a higher rank.
+};
+
 /**
  * Allocates the slots of the servers that this node coordinates for the whole fleet. All nodes
  * request the slots of a server from the same coordinator, so that each choice is based on the
@@ -93,6 +100,12 @@
         return this->waitingRequests.size();
     }
 
+    /** @return Grants to requests that had waited, by service, since the start. */
+    auto queuedGrantCounts() const -> const std::map<std::string, QueuedGrantCounts> &
+    {
+        return this->queuedGrants;
+    }
+
 private:
     using RequestKey = std::pair<std::uint64_t, std::uint64_t>; ///< Incarnation and id.
 
@@ -130,6 +143,7 @@
     std::map<RequestKey, std::uint64_t> queueNumbers; ///< Of the waiting requests.
     std::map<std::uint64_t, WaitingRequest> waitingRequests; ///< By number in the queue.
     std::map<std::string, ServiceQueue> queues; ///< Requests of all nodes, by service.
+    std::map<std::string, QueuedGrantCounts> queuedGrants; ///< By service.
     std::uint64_t nextNumber = 1;
 };
 
--- a/include/banyanring/gateway/active_request.h
+++ b/include/banyanring/gateway/active_request.h
@@ -151,6 +151,7 @@
     auto authorise() -> bool;
     auto admit() -> void;
     auto quotaUnits() const -> double;
+    auto organisationWeight() const -> double;
     auto estimatedCost() const -> double;
     auto chargeQuota() -> bool;
     auto chooseService() -> void;
--- a/include/banyanring/gateway/slot_coordination.h
+++ b/include/banyanring/gateway/slot_coordination.h
@@ -54,6 +54,12 @@
         return this->allocator.waitingCount();
     }
 
+    /** @return Grants to requests that had waited, by service. */
+    auto queuedGrantCounts() const -> const std::map<std::string, fleet::QueuedGrantCounts> &
+    {
+        return this->allocator.queuedGrantCounts();
+    }
+
 private:
     /** A slot request of this node, kept until the slot is released. */
     struct PendingRequest
--- a/src/fleet/admission_queue.cpp
+++ b/src/fleet/admission_queue.cpp
@@ -2,15 +2,12 @@
 #include "banyanring/fleet/admission_queue.h"
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 
 namespace banyanring::fleet {
 
 namespace {
 
-/** Half-life of an organisation's usage; a burst affects its priority for several seconds. */
-constexpr Duration UsageHalfLife = std::chrono::seconds(3);
 constexpr double ResponseTimeWeight = 0.05; ///< Weight of one request in the average response time.
 
 } // namespace
@@ -27,40 +24,53 @@
            > 0;
 }
 
-auto AdmissionQueue::usage(std::uint32_t organisation, Instant now) const -> double
+auto AdmissionQueue::shareRanks(Instant now) const -> std::optional<FairShares::Ranks>
 {
-    const auto found = this->usages.find(organisation);
-    if (found == this->usages.end()) {
-        return 0;
+    FairShares::Waiting byOrganisation;
+    for (const auto &request : this->waiting) {
+        auto &work = byOrganisation[request.organisation];
+        work.cost += request.cost;
+        work.weight = request.weight != 0 ? request.weight : work.weight;
     }
-    const auto halfLives = std::chrono::duration<double>(now - found->second.updatedAt)
-                           / std::chrono::duration<double>(UsageHalfLife);
-    return found->second.decayedCost * std::exp2(-halfLives);
+    return this->shares.ranks(byOrganisation, now);
 }
 
-auto AdmissionQueue::dispatchOrder(Instant now) const -> std::vector<std::uint64_t>
+auto AdmissionQueue::rankedOrder(Instant now) const -> std::vector<OrderedRequest>
 {
     using Rank = std::tuple<bool, std::uint32_t, double, Instant, std::uint64_t>;
+    const auto shareRanks = this->shareRanks(now);
     std::vector<Rank> ranks;
     ranks.reserve(this->waiting.size());
     for (const auto &request : this->waiting) {
         ranks.emplace_back(request.latencyDeadline < now, request.tier,
-                           this->usage(request.organisation, now), request.latencyDeadline,
-                           request.number);
+                           shareRanks ? shareRanks->at(request.organisation)
+                                      : this->shares.usage(request.organisation, now),
+                           request.latencyDeadline, request.number);
     }
     std::sort(ranks.begin(), ranks.end());
+    std::vector<OrderedRequest> order;
+    order.reserve(ranks.size());
+    for (const auto &[late, tier, rank, deadline, number] : ranks) {
+        order.push_back(
+            {number, shareRanks ? std::optional(static_cast<std::uint32_t>(rank)) : std::nullopt});
+    }
+    return order;
+}
+
+auto AdmissionQueue::dispatchOrder(Instant now) const -> std::vector<std::uint64_t>
+{
     std::vector<std::uint64_t> numbers;
-    numbers.reserve(ranks.size());
-    for (const auto &rank : ranks) {
-        numbers.push_back(std::get<std::uint64_t>(rank));
+    numbers.reserve(this->waiting.size());
+    for (const auto &request : this->rankedOrder(now)) {
+        numbers.push_back(request.number);
     }
     return numbers;
 }
 
-auto AdmissionQueue::recordUsage(std::uint32_t organisation, double cost, Instant now) -> void
+auto AdmissionQueue::recordUsage(std::uint32_t organisation, double cost, Instant now,
+                                 double weight) -> void
 {
-    const auto earlier = this->usage(organisation, now);
-    this->usages[organisation] = {earlier + cost, now};
+    this->shares.recordUsage(organisation, cost, weight, now);
 }
 
 auto AdmissionQueue::popExpired(Instant now) -> std::vector<std::uint64_t>
--- a/src/fleet/slot_allocator.cpp
+++ b/src/fleet/slot_allocator.cpp
@@ -61,7 +61,8 @@
     this->queueNumbers[key] = number;
     this->waitingRequests[number] = {request, service, now};
     queue.waiting.push({number, request.tier, request.organisation, request.cost,
-                        now + request.latencyBudget, now + request.queueTimeout});
+                        now + request.latencyBudget, now + request.queueTimeout,
+                        request.organisationWeight});
     return {request.id, SlotOutcome::Queued, 0, wait};
 }
 
@@ -97,7 +98,7 @@
     }
     auto &queue = this->queues[service];
     ++queue.runningCount;
-    queue.waiting.recordUsage(request.organisation, request.cost, now);
+    queue.waiting.recordUsage(request.organisation, request.cost, now, request.organisationWeight);
     this->grants[{request.incarnation, request.id}] = std::move(grant);
     return choice.server;
 }
@@ -232,7 +233,7 @@
             continue;
         }
         int failures = 0;
-        for (const auto number : queue.waiting.dispatchOrder(now)) {
+        for (const auto &[number, shareRank] : queue.waiting.rankedOrder(now)) {
             const auto waiting = this->waitingRequests.at(number);
             const auto server = this->tryGrant(waiting.request, service, now);
             if (!server) {
@@ -242,6 +243,10 @@
                 continue;
             }
             this->cancelWaiting(number);
+            if (shareRank) {
+                auto &counts = this->queuedGrants[service];
+                ++(*shareRank == 0 ? counts.withinShare : counts.aboveShare);
+            }
             grants.push_back({waiting.request.replyAddress,
                               {waiting.request.id, SlotOutcome::Granted, server->hash, {}}});
         }
--- a/src/gateway/active_request.cpp
+++ b/src/gateway/active_request.cpp
@@ -254,7 +254,7 @@
     this->slotRequestId = this->nextSlotRequestId();
     this->queued = true;
     queue.waiting.push({this->number, this->priority(), organisationId, this->estimatedCost(),
-                        this->latencyDeadline, this->queueDeadline});
+                        this->latencyDeadline, this->queueDeadline, this->organisationWeight()});
     if (!this->requestSlot()) {
         this->placeOrQueue();
     }
@@ -266,6 +266,11 @@
     this->enqueue({now + RetryLatencyTarget, now + maxWait});
 }
 
+auto ActiveRequest::organisationWeight() const -> double
+{
+    return this->organisation ? this->organisation->ratePerSecond : 0;
+}
+
 auto ActiveRequest::estimatedCost() const -> double
 {
     return 1 + this->profile.promptWork + this->profile.expectedOutputTokens;
--- a/src/gateway/active_request_exchange.cpp
+++ b/src/gateway/active_request_exchange.cpp
@@ -78,7 +78,7 @@
     if (this->dispatches == 0) {
         state.retryBudget.recordRequest(this->service, now);
         queue.waiting.recordUsage(this->organisation ? hashName(this->organisation->name) : 0,
-                                  this->estimatedCost(), now);
+                                  this->estimatedCost(), now, this->organisationWeight());
     }
     ++this->dispatches;
     this->server = newServer;
--- a/src/gateway/active_request_slots.cpp
+++ b/src/gateway/active_request_slots.cpp
@@ -24,6 +24,7 @@
     slotRequest.profile.nodeHash = 0;
     slotRequest.tier = this->priority();
     slotRequest.organisation = this->organisation ? hashName(this->organisation->name) : 0;
+    slotRequest.organisationWeight = this->organisationWeight();
     slotRequest.cost = this->estimatedCost();
     slotRequest.latencyBudget = this->latencyDeadline - now;
     slotRequest.queueTimeout = this->queueDeadline - now;
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -135,6 +135,12 @@
         text << "banyanring_peer_sent_bytes{type=\"" << messageTypeName(type) << "\"} "
              << sent.bytes << '\n';
     }
+    text << "# TYPE banyanring_queued_grants_total counter\n";
+    for (const auto &[service, counts] : this->slotCoordination.queuedGrantCounts()) {
+        const auto label = "banyanring_queued_grants_total{service=\"" + service + "\",share=";
+        text << label << "\"within\"} " << counts.withinShare << '\n'
+             << label << "\"above\"} " << counts.aboveShare << '\n';
+    }
     text << "# TYPE banyanring_server_requests gauge\n";
     for (const auto &[id, server] : this->state.servers.all()) {
         text << "banyanring_server_requests{server=\"" << id << "\",service=\""
