--- a/src/gateway/active_request.cpp
+++ b/src/gateway/active_request.cpp
@@ -270,7 +270,7 @@
     this->slotRequestId = this->nextSlotRequestId();
     this->queued = true;
     queue.waiting.push({this->number, this->priority(), organisationId, this->estimatedCost(),
-                        this->latencyDeadline, this->queueDeadline});
+                        this->latencyDeadline, this->queueDeadline, this->organisationWeight()});
     if (!this->requestSlot()) {
         this->placeOrQueue();
     }
@@ -289,6 +289,11 @@
                    std::max(this->queueDeadline, now + this->retryWait())});
 }
 
+auto ActiveRequest::organisationWeight() const -> double
+{
+    return this->organisation ? this->organisation->ratePerSecond : 0;
+}
+
 auto ActiveRequest::estimatedCost() const -> double
 {
     return 1 + this->profile.promptWork + this->profile.expectedOutputTokens;
