--- a/include/banyanring/fleet/admission_policy.h
+++ b/include/banyanring/fleet/admission_policy.h
@@ -14,6 +14,9 @@
 
 namespace banyanring::fleet {
 
+/** Within a tier of organisations, requests are ordered by the tier of their route. */
+constexpr std::uint32_t TierStep = 256;
+
 /** Times of a request that its wait depends on. */
 struct RequestTiming
 {
