Slot allocator: expected waits by forecast; protect accepted requests

Cause: requests that were accepted into the queue were rejected for later arrivals (step overtaken) after a wait.

Change: SlotAllocator forecasts the wait of new and waiting requests, for services whose recent requests have several route tiers. The reply to a waiting request exceeds its queue deadline only if later, more urgent arrivals cause that.

--- a/include/banyanring/fleet/admission_queue.h
+++ b/include/banyanring/fleet/admission_queue.h
@@ -1,7 +1,7 @@
 /** @file admission_queue.h Queue of the requests of one service that wait for a free slot. */
 #pragma once
 
-#include "banyanring/fleet/placement.h"
+#include "banyanring/fleet/wait_forecast.h"
 
 #include <optional>
 #include <string>
@@ -19,6 +19,7 @@
     double cost = 1; ///< Work of the request, in any unit that all requests of the queue share.
     Instant latencyDeadline{}; ///< Latest dispatch time at which it still meets its latency target.
     Instant queueDeadline{}; ///< It is rejected if it still waits at this time.
+    double work = 0; ///< expectedServiceMs; only used for forecasts.
 };
 
 /**
@@ -79,6 +80,15 @@
      */
     auto countAheadOf(std::uint64_t number, Instant now) const -> std::size_t;
 
+    /**
+     * Finds the place of a waiting request. The usage of organisations is not taken into account.
+     * @param number Number of the request; it must be waiting.
+     * @param later Later arrivals that count as ahead of it.
+     * @param now Current time.
+     * @return Its place.
+     */
+    auto placeOf(std::uint64_t number, LaterArrivals later, Instant now) const -> QueuePlace;
+
     /** @return Number of waiting requests. */
     auto size() const -> std::size_t
     {
--- a/include/banyanring/fleet/slot_allocator.h
+++ b/include/banyanring/fleet/slot_allocator.h
@@ -16,6 +16,16 @@
     SlotReply reply;
 };
 
+/** Forecasts of a service's waits and what came of them, since the start. */
+struct ForecastTotals
+{
+    std::uint64_t granted = 0; ///< Requests that waited with a forecast and got a slot.
+    Duration forecastSum{}; ///< Of their waits, made on arrival.
+    Duration waitSum{}; ///< Of their waits.
+    std::uint64_t rejectedOnArrival = 0;
+    std::uint64_t rejectedLater = 0; ///< Rejected after they were accepted into the queue.
+};
+
 /**
  * Allocates the slots of the servers that this node coordinates for the whole fleet. All nodes
  * request the slots of a server from the same coordinator, so that each choice is based on the
@@ -52,6 +62,14 @@
      */
     auto handleReport(const SlotReport &report, Instant now) -> void;
 
+    /**
+     * Withdraws a slot request that is to be sent to another coordinator.
+     * @param incarnation Incarnation of the requesting node.
+     * @param requestId Number of the slot request.
+     * @param now Current time.
+     */
+    auto withdrawRequest(std::uint64_t incarnation, std::uint64_t requestId, Instant now) -> void;
+
     /**
      * Replaces what is known about the slots that a node holds by the node's own list.
      * @param heldSlots Slots that the node holds.
@@ -87,6 +105,13 @@
         this->limitShare = share;
     }
 
+    /** @return Forecasts and their results by service, of services with a waiting request so far.
+     */
+    auto forecastTotals() const -> const std::map<std::string, ForecastTotals> &
+    {
+        return this->totals;
+    }
+
     /** @return Number of waiting slot requests. */
     auto waitingCount() const -> std::size_t
     {
@@ -105,6 +130,7 @@
         double workAhead = 0; ///< Prompt work at the server when the slot was granted.
         Instant grantedAt{};
         std::string service;
+        double work = 0; ///< expectedServiceMs.
     };
 
     /** A waiting slot request. */
@@ -113,11 +139,19 @@
         SlotRequest request;
         std::string service;
         Instant receivedAt{}; ///< When it was last received.
+        Instant arrivedAt{}; ///< When it was first received.
+        std::optional<Duration> forecast{}; ///< Expected wait on arrival, if forecast.
+        bool accepted = true; ///< Its node is expected not to reject it for the expected wait.
+        bool evicted = false; ///< The reply to a repetition makes its node reject it.
     };
 
     auto tryGrant(const SlotRequest &request, const std::string &service, Instant now) -> ServerPtr;
     auto release(std::map<RequestKey, Grant>::iterator grant) -> void;
     auto cancelWaiting(std::uint64_t number) -> void;
+    auto advanceForecast(const std::string &service, Instant now) -> WaitForecast &;
+    auto enqueue(const SlotRequest &request, const std::string &service, Instant now) -> Duration;
+    auto expectedWaitOf(std::uint64_t number, Instant now) -> Duration;
+    auto recordRejection(const WaitingRequest &waiting) -> void;
     auto recordEvent(const Grant &grant, const SlotReport &report, Instant now) -> void;
     auto coordinates(const std::string &service) const -> bool;
     auto hasUnlimitedServer(const std::string &service, Instant now) const -> bool;
@@ -130,6 +164,8 @@
     std::map<RequestKey, std::uint64_t> queueNumbers; ///< Of the waiting requests.
     std::map<std::uint64_t, WaitingRequest> waitingRequests; ///< By number in the queue.
     std::map<std::string, ServiceQueue> queues; ///< Requests of all nodes, by service.
+    std::map<std::string, WaitForecast> forecasts; ///< By service.
+    std::map<std::string, ForecastTotals> totals; ///< By service.
     std::uint64_t nextNumber = 1;
 };
 
--- a/src/fleet/admission_queue.cpp
+++ b/src/fleet/admission_queue.cpp
@@ -102,6 +102,34 @@
                       [&](const QueuedRequest &request) { return rank(request) < rank(*found); }));
 }
 
+auto AdmissionQueue::placeOf(std::uint64_t number, LaterArrivals later, Instant now) const
+    -> QueuePlace
+{
+    const auto &own =
+        *std::find_if(this->waiting.begin(), this->waiting.end(),
+                      [number](const QueuedRequest &request) { return request.number == number; });
+    const auto lateAt = std::max(now, own.latencyDeadline);
+    const auto rank = [](const QueuedRequest &request) {
+        return std::tuple(request.tier, request.latencyDeadline, request.number);
+    };
+    QueuePlace place{own.tier, own.latencyDeadline - now, 0, 0};
+    for (const auto &request : this->waiting) {
+        if (request.number > number
+            && (later == LaterArrivals::None
+                || (later == LaterArrivals::MoreUrgent && request.tier >= own.tier))) {
+            continue;
+        }
+        const bool isFirst = rank(request) < rank(own);
+        if (request.latencyDeadline >= now && isFirst) {
+            place.workAhead += request.work;
+        }
+        if (isFirst || request.latencyDeadline > lateAt) {
+            place.workAheadIfLate += request.work;
+        }
+    }
+    return place;
+}
+
 auto ServiceQueue::recordResponseTime(Duration duration) -> void
 {
     const auto durationMs = static_cast<double>(duration.count()) / 1000;
--- a/src/fleet/slot_allocator.cpp
+++ b/src/fleet/slot_allocator.cpp
@@ -1,7 +1,10 @@
 /** @file slot_allocator.cpp Allocates the slots of the servers that this node coordinates. */
 #include "banyanring/fleet/slot_allocator.h"
 
+#include "banyanring/fleet/admission_policy.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace banyanring::fleet {
 
@@ -13,12 +16,24 @@
 constexpr Duration RequestLifetime = milliseconds(500);
 /** A node's list of held slots may have been sent before the grant arrived there. */
 constexpr Duration GrantTransitTime = milliseconds(300);
+/**
+ * A node's queue deadline may be earlier than the coordinator's by the transit time of the request,
+ * and a reply arrives later than it is sent.
+ */
+constexpr Duration DeadlineMargin = milliseconds(100);
 /**
  * Once this many requests found no server, those behind them rarely find one; limits the work per
  * round.
  */
 constexpr int MaxFailuresPerRound = 4;
 
+/** @return Work for the forecast; 0 if the profile of another node is not a valid one. */
+auto workOf(const RequestProfile &profile) -> double
+{
+    const auto work = expectedServiceMs(profile);
+    return std::isfinite(work) && work > 0 ? work : 0;
+}
+
 } // namespace
 
 SlotAllocator::SlotAllocator(ServerRegistry &servers,
@@ -45,24 +60,73 @@
     auto &queue = this->queues[service];
     if (const auto queued = this->queueNumbers.find(key); queued != this->queueNumbers.end()) {
         this->waitingRequests.at(queued->second).receivedAt = now;
-        const auto ahead = queue.waiting.countAheadOf(queued->second, now);
-        return {request.id, SlotOutcome::Queued, 0, queue.expectedWait(ahead)};
+        return {request.id, SlotOutcome::Queued, 0, this->expectedWaitOf(queued->second, now)};
     }
     queue.recordProfile(request.profile);
+    auto &forecast = this->advanceForecast(service, now);
+    forecast.recordTier(request.tier);
     if (const auto server = this->tryGrant(request, service, now)) {
+        forecast.recordAccepted(request.tier, request.latencyBudget, workOf(request.profile));
         return {request.id, SlotOutcome::Granted, server->hash, {}};
     }
     if (!this->coordinates(service)) {
         return {request.id, SlotOutcome::NotCoordinator, 0, {}};
     }
-    const auto wait = queue.expectedWait(
-        queue.waiting.countAhead(request.tier, now + request.latencyBudget, now));
+    return {request.id, SlotOutcome::Queued, 0, this->enqueue(request, service, now)};
+}
+
+auto SlotAllocator::enqueue(const SlotRequest &request, const std::string &service, Instant now)
+    -> Duration
+{
+    auto &queue = this->queues[service];
+    auto &forecast = this->forecasts[service];
+    const WaitBudget budget{now + request.latencyBudget, now + request.queueTimeout};
+    const auto work = workOf(request.profile);
+    const auto countedWait =
+        queue.expectedWait(queue.waiting.countAhead(request.tier, budget.latencyDeadline, now));
     const auto number = this->nextNumber++;
-    this->queueNumbers[key] = number;
-    this->waitingRequests[number] = {request, service, now};
     queue.waiting.push({number, request.tier, request.organisation, request.cost,
-                        now + request.latencyBudget, now + request.queueTimeout});
-    return {request.id, SlotOutcome::Queued, 0, wait};
+                        budget.latencyDeadline, budget.queueDeadline, work});
+    const auto forecastWait = forecast.expectedWait(
+        queue.waiting.placeOf(number, LaterArrivals::All, now), LaterArrivals::All);
+    const auto wait = forecastWait.value_or(countedWait);
+    const bool accepted = !isWaitTooLong(budget, wait, now);
+    if (accepted) {
+        forecast.recordAccepted(request.tier, request.latencyBudget, work);
+    }
+    this->queueNumbers[{request.incarnation, request.id}] = number;
+    this->waitingRequests[number] = {request, service, now, now, forecastWait, accepted, false};
+    return wait;
+}
+
+auto SlotAllocator::expectedWaitOf(std::uint64_t number, Instant now) -> Duration
+{
+    auto &waiting = this->waitingRequests.at(number);
+    const auto &queue = this->queues[waiting.service];
+    const auto &forecast = this->forecasts[waiting.service];
+    const auto waitFor = [&](LaterArrivals later) {
+        return forecast.expectedWait(queue.waiting.placeOf(number, later, now), later);
+    };
+    const auto timeLeft = waiting.arrivedAt + waiting.request.queueTimeout - DeadlineMargin - now;
+    const auto forecastWait = waitFor(LaterArrivals::All);
+    const auto wait =
+        forecastWait.value_or(queue.expectedWait(queue.waiting.countAheadOf(number, now)));
+    waiting.evicted = wait > timeLeft;
+    if (!forecastWait || !waiting.evicted) {
+        return wait;
+    }
+    // Only more urgent arrivals may evict an accepted request: not later ones of its own or a less
+    // urgent tier, and not a lower rate of service than expected.
+    waiting.evicted =
+        waitFor(LaterArrivals::MoreUrgent) > timeLeft && waitFor(LaterArrivals::None) <= timeLeft;
+    return waiting.evicted ? wait : std::max(Duration(0), timeLeft);
+}
+
+auto SlotAllocator::advanceForecast(const std::string &service, Instant now) -> WaitForecast &
+{
+    auto &forecast = this->forecasts[service];
+    forecast.advance(this->queues[service].waiting.size() > 0, now);
+    return forecast;
 }
 
 auto SlotAllocator::tryGrant(const SlotRequest &request, const std::string &service, Instant now)
@@ -89,6 +153,7 @@
     server.requestLimit.recordRequest(this->limitShare, now);
     Grant grant{choice.server, request.profile, 0, 0, now, service};
     grant.promptWork = request.profile.promptWork;
+    grant.work = workOf(request.profile);
     grant.workAhead =
         server.ownLoad.promptWork + server.peerLoad.promptWork + request.profile.promptWork;
     if (request.incarnation != this->self) {
@@ -136,11 +201,33 @@
     this->waitingRequests.erase(found);
 }
 
+auto SlotAllocator::recordRejection(const WaitingRequest &waiting) -> void
+{
+    auto &totalsOfService = this->totals[waiting.service];
+    ++(waiting.accepted ? totalsOfService.rejectedLater : totalsOfService.rejectedOnArrival);
+}
+
+auto SlotAllocator::withdrawRequest(std::uint64_t incarnation, std::uint64_t requestId, Instant now)
+    -> void
+{
+    const auto found = this->queueNumbers.find({incarnation, requestId});
+    if (found != this->queueNumbers.end()) {
+        this->advanceForecast(this->waitingRequests.at(found->second).service, now);
+        this->cancelWaiting(found->second);
+    }
+}
+
 auto SlotAllocator::handleReport(const SlotReport &report, Instant now) -> void
 {
     const RequestKey key(report.incarnation, report.requestId);
-    if (const auto waiting = this->queueNumbers.find(key); waiting != this->queueNumbers.end()) {
-        this->cancelWaiting(waiting->second);
+    if (const auto queued = this->queueNumbers.find(key); queued != this->queueNumbers.end()) {
+        const auto &waiting = this->waitingRequests.at(queued->second);
+        // Other requests are cancelled as their caller has gone or another server is found.
+        if (!waiting.accepted || waiting.evicted
+            || now + DeadlineMargin >= waiting.arrivedAt + waiting.request.queueTimeout) {
+            this->recordRejection(waiting);
+        }
+        this->withdrawRequest(report.incarnation, report.requestId, now);
         return;
     }
     const auto found = this->grants.find(key);
@@ -165,6 +252,7 @@
     auto &server = *grant.server;
     if (report.event == SlotEvent::Succeeded) {
         this->queues[grant.service].recordResponseTime(report.firstByte + report.rest);
+        this->advanceForecast(grant.service, now).recordCompleted(grant.work);
     }
     if (report.incarnation == this->self) {
         return; // Already updated by the responses to its own requests.
@@ -205,6 +293,7 @@
             continue;
         }
         Grant grant{server, {}, slot.promptWork, 0, now, server->registration.service};
+        grant.work = this->queues[grant.service].averageExpectedMs; // The list does not state it.
         ++server->peerLoad.requests;
         server->peerLoad.promptWork += slot.promptWork;
         ++this->queues[grant.service].runningCount;
@@ -225,7 +314,9 @@
 {
     std::vector<AddressedReply> grants;
     for (auto &[service, queue] : this->queues) {
+        this->advanceForecast(service, now);
         for (const auto number : queue.waiting.popExpired(now)) {
+            this->recordRejection(this->waitingRequests.at(number));
             this->cancelWaiting(number);
         }
         if (queue.waiting.size() == 0) {
@@ -242,6 +333,12 @@
                 continue;
             }
             this->cancelWaiting(number);
+            if (waiting.forecast) {
+                auto &totalsOfService = this->totals[service];
+                ++totalsOfService.granted;
+                totalsOfService.forecastSum += *waiting.forecast;
+                totalsOfService.waitSum += now - waiting.arrivedAt;
+            }
             grants.push_back({waiting.request.replyAddress,
                               {waiting.request.id, SlotOutcome::Granted, server->hash, {}}});
         }
@@ -262,6 +359,7 @@
     std::vector<std::uint64_t> expired;
     for (const auto &[number, waiting] : this->waitingRequests) {
         if (now - waiting.receivedAt > RequestLifetime) {
+            this->advanceForecast(waiting.service, now);
             expired.push_back(number);
         }
     }
--- a/src/gateway/slot_coordination.cpp
+++ b/src/gateway/slot_coordination.cpp
@@ -118,7 +118,7 @@
     if (target.empty()) {
         return false;
     }
-    this->allocator.handleReport(makeCancellation(request.incarnation, request.id), now);
+    this->allocator.withdrawRequest(request.incarnation, request.id, now);
     request.forwarded = true;
     this->socket.send(target, PeerMessageType::SlotRequest, encodeSlotRequest(request));
     return true;
