--- a/include/banyanring/gateway/slot_coordination.h
+++ b/include/banyanring/gateway/slot_coordination.h
@@ -54,6 +54,12 @@
         return this->allocator.waitingCount();
     }
 
+    /** @return Forecasts of waits and their results by service. */
+    auto forecastTotals() const -> const std::map<std::string, fleet::ForecastTotals> &
+    {
+        return this->allocator.forecastTotals();
+    }
+
 private:
     /** A slot request of this node, kept until the slot is released. */
     struct PendingRequest
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -130,6 +130,26 @@
           std::count_if(this->state.servers.all().begin(), this->state.servers.all().end(),
                         [](const auto &item) { return item.second->leaving; }));
     gauge("idle_server_connections", this->serverConnectionPool.idleCount());
+    const auto &totals = this->slotCoordination.forecastTotals();
+    const auto summary = [&](std::string_view name, auto sumOf) {
+        for (const auto &[service, total] : totals) {
+            const auto labels = "{service=\"" + service + "\"} ";
+            text << name << "_sum" << labels << std::chrono::duration<double>(sumOf(total)).count()
+                 << '\n'
+                 << name << "_count" << labels << total.granted << '\n';
+        }
+    };
+    text << "# TYPE banyanring_forecast_wait_seconds summary\n";
+    summary("banyanring_forecast_wait_seconds",
+            [](const auto &total) { return total.forecastSum; });
+    text << "# TYPE banyanring_granted_wait_seconds summary\n";
+    summary("banyanring_granted_wait_seconds", [](const auto &total) { return total.waitSum; });
+    text << "# TYPE banyanring_queue_rejections_total counter\n";
+    for (const auto &[service, total] : totals) {
+        const auto label = "banyanring_queue_rejections_total{service=\"" + service + "\",when=\"";
+        text << label << "arrival\"} " << total.rejectedOnArrival << '\n'
+             << label << "waiting\"} " << total.rejectedLater << '\n';
+    }
     text << "# TYPE banyanring_peer_sent_bytes gauge\n";
     for (const auto &[type, sent] : this->peerSocket.traffic().sentByType) {
         text << "banyanring_peer_sent_bytes{type=\"" << messageTypeName(type) << "\"} "
