--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -3,6 +3,7 @@
 
 #include "banyanring/adapters/log_func.h"
 #include "banyanring/ports/clock_func.h"
+#include "coordinator_metrics_func.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -131,20 +132,6 @@
           std::count_if(this->state.servers.all().begin(), this->state.servers.all().end(),
                         [](const auto &item) { return item.second->leaving; }));
     gauge("idle_server_connections", this->serverConnectionPool.idleCount());
-    text << "# TYPE banyanring_coordinated_slots gauge\n"
-         << "# TYPE banyanring_coordinated_waiting gauge\n";
-    for (const auto &[service, occupancy] : this->slotCoordination.occupancy()) {
-        const auto &sample = occupancy.lastSample();
-        const auto slots = [&](std::string_view state, std::uint32_t count) {
-            text << "banyanring_coordinated_slots{service=\"" << service << "\",state=\"" << state
-                 << "\"} " << count << '\n';
-        };
-        slots("free", sample.freeSlots);
-        slots("occupied", sample.occupiedSlots);
-        slots("unusable", sample.unusableSlots);
-        text << "banyanring_coordinated_waiting{service=\"" << service << "\"} "
-             << sample.waitingRequests << '\n';
-    }
     text << "# TYPE banyanring_log_lines_dropped_total counter\n";
     const auto droppedLines = droppedLogLines();
     for (std::size_t kind = 0; kind < LogKindCount; ++kind) {
@@ -156,12 +143,7 @@
         text << "banyanring_peer_sent_bytes{type=\"" << messageTypeName(type) << "\"} "
              << sent.bytes << '\n';
     }
-    text << "# TYPE banyanring_queued_grants_total counter\n";
-    for (const auto &[service, counts] : this->slotCoordination.queuedGrantCounts()) {
-        const auto label = "banyanring_queued_grants_total{service=\"" + service + "\",share=";
-        text << label << "\"within\"} " << counts.withinShare << '\n'
-             << label << "\"above\"} " << counts.aboveShare << '\n';
-    }
+    writeCoordinatorMetrics(text, this->slotCoordination);
     text << "# TYPE banyanring_server_requests gauge\n";
     for (const auto &[id, server] : this->state.servers.all()) {
         text << "banyanring_server_requests{server=\"" << id << "\",service=\""
