Give SlotReport's new member an initializer

Cause: tests that list only the earlier members got new -Wmissing-field-initializers warnings.

Change: a default member initializer; no change of behaviour.

Measured: the warnings about the new member are gone (those about older members remain); fleet_tests OK (485 tests).

--- a/include/banyanring/fleet/slot_type.h
+++ b/include/banyanring/fleet/slot_type.h
@@ -61,7 +61,7 @@
     double outputTokens = 0; ///< Number of output tokens after the first byte.
     /** What the response says about the server's limit, if it arrived just now. */
     std::optional<RequestLimitReport> requestLimit;
-    std::optional<SlowdownReport> slowdown; ///< As the response states it.
+    std::optional<SlowdownReport> slowdown{}; ///< As the response states it.
 };
 
 /** A slot held by a request. */
