Fair shares test: weight after the work of a queued request

Cause: the merge of two parts put the work of a request before its weight; the test initialises by position, so that the weights were lost. Change: the test names both; its checks are the same.

--- a/tests/fleet/fair_shares_tests.cpp
+++ b/tests/fleet/fair_shares_tests.cpp
@@ -92,8 +92,10 @@
         for (; count > 0; --count) {
             const auto work = std::exponential_distribution<double>(1 / MeanServiceMs)(generator);
             const Instant end = this->now + seconds(1);
-            const QueuedRequest request{++this->lastNumber,      0,   organisation,      work,
-                                        end - milliseconds(600), end, 1.0 * organisation};
+            const auto number = ++this->lastNumber;
+            const QueuedRequest request{
+                number, 0,    organisation,      work, end - milliseconds(600),
+                end,    work, 1.0 * organisation};
             this->queue.push(request);
             this->waiting[request.number] = request;
             requests.at(organisation) += this->isCounted(this->now) ? 1 : 0;
