--- a/include/banyanring/gateway/active_request.h
+++ b/include/banyanring/gateway/active_request.h
@@ -1,9 +1,9 @@
 /** @file active_request.h One request in progress, from its arrival to its final response. */
 #pragma once
 
-#include "banyanring/adapters/log_admission.h"
 #include "banyanring/gateway/event_stream_parser.h"
 #include "banyanring/gateway/move_attempt.h"
+#include "banyanring/gateway/request_outcome.h"
 #include "banyanring/gateway/response_buffer.h"
 #include "banyanring/gateway/scheduler.h"
 
@@ -11,22 +11,6 @@
 
 namespace banyanring::gateway {
 
-/** How a request ended. */
-enum class RequestOutcome : std::uint8_t {
-    Answered, ///< The response of a backend server was delivered.
-    NoConfig, ///< No configuration has been received yet.
-    NoRoute, ///< No route matches it.
-    BadKey, ///< Its API key is missing, unknown or revoked.
-    OverQuota, ///< Its organisation has exceeded its quota.
-    CrashSuspect, ///< The same request is suspected of crashing servers.
-    Overload, ///< It waited too long in the queue, or would have.
-    NoServer, ///< No server of the service is registered.
-    TimedOut, ///< Its deadline passed.
-    ServerFailed, ///< The server closed the connection or sent an invalid response.
-    CallerGone, ///< The caller disconnected.
-    Stopping, ///< The process is about to stop.
-};
-
 /**
  * One request in progress, from its arrival to its final response. Only this class may tell the
  * caller that a request was not executed. It does so only if no byte of the request was sent to any
@@ -295,19 +279,4 @@
     std::vector<RequestStep> steps;
 };
 
-/**
- * Returns the name of an outcome for logs and metrics.
- * @param outcome The outcome.
- * @return Name in snake case.
- */
-auto outcomeName(RequestOutcome outcome) -> std::string_view;
-
-/**
- * Returns the kind of the log line of a finished request.
- * @param outcome The outcome.
- * @param status Status code that the caller got.
- * @return Its kind.
- */
-auto logKindOf(RequestOutcome outcome, int status) -> LogKind;
-
 } // namespace banyanring::gateway
