--- a/src/gateway/slot_coordination.cpp
+++ b/src/gateway/slot_coordination.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint64_t AssignmentTicks = 2; ///< Ticks between assignments of coordinators.
 constexpr std::uint64_t HeldSlotsTicks = 10; ///< Ticks between reports of held slots.
 constexpr std::uint64_t FreeSlotsTicks = 2; ///< Ticks between reports of free slots.
+constexpr std::uint64_t OccupancyTicks = 10; ///< Each sample visits thousands of servers.
 constexpr std::uint64_t OccupancyLogTicks = 20; ///< Ticks between log lines of a full service.
 /** A server that is used at all states its limit within this time, so older ones need no repeat. */
 constexpr Duration MaxLimitAge = std::chrono::seconds(10);
@@ -279,6 +280,9 @@
 
 auto SlotCoordination::recordOccupancy(Instant now) -> void
 {
+    if (this->ticks % OccupancyTicks != 0) {
+        return;
+    }
     if (this->ticks % OccupancyLogTicks == 0) {
         for (const auto &[service, occupancy] : this->serviceOccupancy) {
             if (occupancy.meanWaiting() == 0) {
