--- a/src/gateway/coordinator_metrics.cpp
+++ b/src/gateway/coordinator_metrics.cpp
@@ -9,13 +9,10 @@
         << "# TYPE banyanring_coordinated_waiting gauge\n";
     for (const auto &[service, occupancy] : coordination.occupancy()) {
         const auto &sample = occupancy.lastSample();
-        const auto slots = [&](std::string_view state, std::uint32_t count) {
-            out << "banyanring_coordinated_slots{service=\"" << service << "\",state=\"" << state
-                << "\"} " << count << '\n';
-        };
-        slots("free", sample.freeSlots);
-        slots("occupied", sample.occupiedSlots);
-        slots("unusable", sample.unusableSlots);
+        const auto label = "banyanring_coordinated_slots{service=\"" + service + "\",state=";
+        out << label << "\"free\"} " << sample.freeSlots << '\n'
+            << label << "\"occupied\"} " << sample.occupiedSlots << '\n'
+            << label << "\"unusable\"} " << sample.unusableSlots << '\n';
         out << "banyanring_coordinated_waiting{service=\"" << service << "\"} "
             << sample.waitingRequests << '\n';
     }
