Readers of responses share one list of failures, named the same in all logs

ConnectionFailure and ExchangeFailure listed the same four reasons, and three places named them again: the step of a request's log, the text of a /v1 dispatch (which said 'response malformed or header too long') and the client of the store and peers, which logged 'broken' for three of them. One enumeration with its names replaces them, so that a further reason to reject a response shows in every log. A failed move now logs its reason too. Which failures count as a lost connection is stated once.

--- a/include/banyanring/gateway/http_client.h
+++ b/include/banyanring/gateway/http_client.h
@@ -17,8 +17,8 @@
 {
     int status = 0; ///< HTTP status; 0 if no complete response arrived.
     std::string body; ///< Complete response body.
-    std::string failure; ///< "timeout", "not_connected", "broken" or "too_long"; empty if a
-                         ///< response arrived.
+    /** "timeout", "too_long" or the name of an ExchangeFailure; empty if a response arrived. */
+    std::string failure;
     boost::beast::http::fields headers{}; ///< Response headers; empty if no response arrived.
 };
 
@@ -58,7 +58,7 @@
     auto onHeader(const ResponseHeader &header) -> void override;
     auto onBody(std::string data) -> void override;
     auto onEnd(bool reusable) -> void override;
-    auto onFailed(ConnectionFailure failure) -> void override;
+    auto onFailed(ExchangeFailure failure) -> void override;
     auto finish(HttpResult finalResult) -> void;
 
     boost::asio::io_context &context;
--- a/include/banyanring/gateway/outbound_connection.h
+++ b/include/banyanring/gateway/outbound_connection.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "banyanring/core/ids_type.h"
+#include "banyanring/gateway/exchange_failure_type.h"
 #include "banyanring/gateway/response_body_type.h"
 
 #include <boost/asio/io_context.hpp>
@@ -17,14 +18,6 @@
 
 using ResponseHeader = boost::beast::http::response_header<>; ///< A parsed response header.
 
-/** How a connection failed. */
-enum class ConnectionFailure : std::uint8_t {
-    NotConnected, ///< It could not be opened; nothing was sent.
-    Closed, ///< Closed or reset before the first byte of a response.
-    Truncated, ///< Closed or reset before the end of the response.
-    Malformed, ///< The received bytes are not a valid HTTP response.
-};
-
 /** Receives the events of a connection while a response is awaited. */
 class ResponseObserver
 {
@@ -39,7 +32,7 @@
     /** @param reusable Whether the connection can be used for another request. */
     virtual auto onEnd(bool reusable) -> void = 0;
     /** @param failure Why there is no complete response. */
-    virtual auto onFailed(ConnectionFailure failure) -> void = 0;
+    virtual auto onFailed(ExchangeFailure failure) -> void = 0;
 };
 
 /**
@@ -103,7 +96,7 @@
     auto onRead(const boost::system::error_code &error, std::size_t count) -> void;
     auto parseBuffered() -> void;
     auto finishResponse() -> void;
-    auto fail(ConnectionFailure failure) -> void;
+    auto fail(ExchangeFailure failure) -> void;
     auto resetParser() -> void;
 
     boost::asio::ip::tcp::socket socket;
--- a/include/banyanring/gateway/scheduler_ports.h
+++ b/include/banyanring/gateway/scheduler_ports.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "banyanring/fleet/slot_type.h"
+#include "banyanring/gateway/exchange_failure_type.h"
 #include "banyanring/gateway/request_type.h"
 
 #include <memory>
@@ -51,14 +52,6 @@
 
 using CallerPortPtr = std::shared_ptr<CallerPort>; ///< Shared with pending socket operations.
 
-/** Reason why an exchange did not yield a complete response. */
-enum class ExchangeFailure : std::uint8_t {
-    NotSent, ///< No connection; nothing was sent to the server.
-    NoResponse, ///< Closed before a response; the request may have been executed.
-    Truncated, ///< Closed before the end of the response.
-    Malformed, ///< The received bytes are not a valid HTTP response.
-};
-
 /** Receives the events of one exchange. */
 class ExchangeObserver
 {
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -16,26 +16,10 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 using boost::system::error_code;
-using gateway::ConnectionFailure;
+using gateway::ExchangeFailure;
 
 constexpr unsigned HttpVersion = 11; ///< HTTP/1.1, as the library writes it.
 
-/** @return Description of a failure for the log. */
-auto failureText(ConnectionFailure failure) -> std::string
-{
-    switch (failure) {
-    case ConnectionFailure::NotConnected:
-        return "cannot connect";
-    case ConnectionFailure::Closed:
-        return "connection closed without a response";
-    case ConnectionFailure::Truncated:
-        return "response truncated";
-    case ConnectionFailure::Malformed:
-        return "response malformed or header too long";
-    }
-    return "unknown failure";
-}
-
 } // namespace
 
 /** One request and its response. */
@@ -132,9 +116,9 @@
         this->end("");
     }
 
-    auto onFailed(ConnectionFailure failure) -> void override
+    auto onFailed(ExchangeFailure failure) -> void override
     {
-        this->end(failureText(failure));
+        this->end(std::string(gateway::failureName(failure)));
     }
 
 private:
--- a/src/gateway/active_request_exchange.cpp
+++ b/src/gateway/active_request_exchange.cpp
@@ -162,9 +162,7 @@
             this->requeueUnexecuted();
         }
     } else {
-        this->handleServerFailure(failure == ExchangeFailure::NoResponse  ? "no_answer"
-                                  : failure == ExchangeFailure::Truncated ? "truncated"
-                                                                          : "malformed");
+        this->handleServerFailure(failureName(failure));
     }
     this->scheduler.placeDirtyServices();
 }
--- a/src/gateway/active_request_move.cpp
+++ b/src/gateway/active_request_move.cpp
@@ -153,7 +153,8 @@
 {
     const auto &move = *this->currentMove();
     auto &newServer = *move.server;
-    this->addStep("move_failed", newServer.registration.id);
+    this->addStep("move_failed",
+                  newServer.registration.id + " " + std::string(failureName(failure)));
     if (failure == ExchangeFailure::NotSent) {
         this->triedServers.insert(newServer.registration.id);
         this->recordUnreachable(newServer);
@@ -162,7 +163,7 @@
         return;
     }
     this->recordPossibleExecution();
-    if (failure != ExchangeFailure::Malformed) {
+    if (isConnectionLost(failure)) {
         this->recordLostRun(newServer, move.sentAt.value_or(move.dispatchedAt), false, "move");
     }
     this->endMove(fleet::AttemptOutcome::Failed, fleet::SlotEvent::Failed);
--- a/src/gateway/http_client.cpp
+++ b/src/gateway/http_client.cpp
@@ -85,9 +85,9 @@
     this->finish(std::move(this->result));
 }
 
-auto HttpClient::onFailed(ConnectionFailure failure) -> void
+auto HttpClient::onFailed(ExchangeFailure failure) -> void
 {
-    this->finish({0, "", failure == ConnectionFailure::NotConnected ? "not_connected" : "broken"});
+    this->finish({0, "", std::string(failureName(failure))});
 }
 
 auto HttpClient::finish(HttpResult finalResult) -> void
--- a/src/gateway/outbound_connection.cpp
+++ b/src/gateway/outbound_connection.cpp
@@ -39,8 +39,7 @@
     const auto parsed = fleet::parseEndpoint(address);
     if (!parsed) {
         logEvent("address_malformed", {{"address", address}});
-        asio::post(this->socket.get_executor(),
-                   [self] { self->fail(ConnectionFailure::NotConnected); });
+        asio::post(this->socket.get_executor(), [self] { self->fail(ExchangeFailure::NotSent); });
         return;
     }
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address_v4(parsed->ip), parsed->port);
@@ -49,7 +48,7 @@
             return;
         }
         if (error) {
-            self->fail(ConnectionFailure::NotConnected);
+            self->fail(ExchangeFailure::NotSent);
             return;
         }
         self->connected = true;
@@ -132,7 +131,7 @@
         this->buffer.commit(count);
         this->parseBuffered();
         if (!this->closed && this->buffer.size() > MaxUnparsedBytes) {
-            this->fail(ConnectionFailure::Malformed);
+            this->fail(ExchangeFailure::Malformed);
         }
         this->startRead();
         return;
@@ -148,8 +147,8 @@
         this->finishResponse();
         return;
     }
-    this->fail(this->headerReceived || this->buffer.size() > 0 ? ConnectionFailure::Truncated
-                                                               : ConnectionFailure::Closed);
+    this->fail(this->headerReceived || this->buffer.size() > 0 ? ExchangeFailure::Truncated
+                                                               : ExchangeFailure::NoResponse);
 }
 
 auto OutboundConnection::parseBuffered() -> void
@@ -159,14 +158,14 @@
         const auto consumed = this->parser->put(this->buffer.data(), error);
         this->buffer.consume(consumed);
         if (error && error != http::error::need_more) {
-            this->fail(ConnectionFailure::Malformed);
+            this->fail(ExchangeFailure::Malformed);
             return;
         }
         if (!this->headerReceived && this->parser->is_header_done()) {
             if (this->parser->get().result_int() < FirstFinalStatus) {
                 this->informationalBytes += consumed;
                 if (this->informationalBytes > MaxHeaderBytes) {
-                    this->fail(ConnectionFailure::Malformed);
+                    this->fail(ExchangeFailure::Malformed);
                     return;
                 }
                 this->resetParser();
@@ -175,7 +174,7 @@
             this->headerReceived = true;
             // The parser applies its limit to the other ways of framing only.
             if (this->parser->content_length().value_or(0) > MaxBodyBytes) {
-                this->fail(ConnectionFailure::Malformed);
+                this->fail(ExchangeFailure::Malformed);
                 return;
             }
             this->observer->onHeader(this->parser->get());
@@ -207,7 +206,7 @@
     former->onEnd(reusable);
 }
 
-auto OutboundConnection::fail(ConnectionFailure failure) -> void
+auto OutboundConnection::fail(ExchangeFailure failure) -> void
 {
     auto *const former = this->observer;
     this->close();
--- a/src/gateway/server_connection_pool.cpp
+++ b/src/gateway/server_connection_pool.cpp
@@ -293,24 +293,11 @@
     this->observer.onResponseEnd();
 }
 
-auto ServerExchange::onFailed(ConnectionFailure failure) -> void
+auto ServerExchange::onFailed(ExchangeFailure failure) -> void
 {
     this->pool.connecting.erase(this);
     this->connection.reset();
-    switch (failure) {
-    case ConnectionFailure::NotConnected:
-        this->observer.onExchangeFailed(ExchangeFailure::NotSent);
-        return;
-    case ConnectionFailure::Closed:
-        this->observer.onExchangeFailed(ExchangeFailure::NoResponse);
-        return;
-    case ConnectionFailure::Truncated:
-        this->observer.onExchangeFailed(ExchangeFailure::Truncated);
-        return;
-    case ConnectionFailure::Malformed:
-        this->observer.onExchangeFailed(ExchangeFailure::Malformed);
-        return;
-    }
+    this->observer.onExchangeFailed(failure);
 }
 
 } // namespace banyanring::gateway
--- a/src/gateway/server_exchange.h
+++ b/src/gateway/server_exchange.h
@@ -58,7 +58,7 @@
     auto onHeader(const ResponseHeader &header) -> void override;
     auto onBody(std::string data) -> void override;
     auto onEnd(bool reusable) -> void override;
-    auto onFailed(ConnectionFailure failure) -> void override;
+    auto onFailed(ExchangeFailure failure) -> void override;
     auto rememberAttempt() -> void;
     auto rejectResponse(int status, std::string_view reason) -> void;
 
--- a/tests/fleet/server_connection_pool_tests.cpp
+++ b/tests/fleet/server_connection_pool_tests.cpp
@@ -5,133 +5,20 @@
 #include "banyanring/gateway/server_connection_pool.h"
 
 #include "banyanring/gateway/http_client.h"
-#include "loopback.h"
+#include "raw_server.h"
 
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace {
 
 using namespace banyanring;
 using namespace banyanring::gateway;
+using test::ExchangeRecorder;
 using test::freePort;
 using test::Loopback;
+using test::RawServer;
 using test::runUntil;
 namespace asio = boost::asio;
-using asio::ip::tcp;
-
-/** A server that sends raw bytes given by the test. */
-class RawServer
-{
-public:
-    explicit RawServer(asio::io_context &context)
-        : acceptor(context, tcp::endpoint(asio::ip::make_address_v4(Loopback), 0))
-    {
-        this->accept();
-    }
-
-    auto address() const -> std::string
-    {
-        return std::string(Loopback) + ":" + std::to_string(this->acceptor.local_endpoint().port());
-    }
-
-    std::vector<std::string> responses; ///< Bytes to send for each request.
-    bool closeAfterResponse = false; ///< Close the connection after a response.
-    std::string endlessBytes; ///< Sent again and again after a response, until the caller closes.
-    std::size_t endlessBytesSent = 0;
-    int connections = 0;
-    int requests = 0;
-
-private:
-    auto accept() -> void
-    {
-        this->acceptor.async_accept(
-            [this](const boost::system::error_code &error, tcp::socket socket) {
-                if (!error) {
-                    ++this->connections;
-                    this->read(std::make_shared<tcp::socket>(std::move(socket)));
-                    this->accept();
-                }
-            });
-    }
-
-    auto read(const std::shared_ptr<tcp::socket> &socket) -> void
-    {
-        auto data = std::make_shared<std::string>();
-        asio::async_read_until(
-            *socket, asio::dynamic_buffer(*data), "\r\n\r\n",
-            [this, socket, data](const boost::system::error_code &error, std::size_t) {
-                if (error || this->responses.empty()) {
-                    return;
-                }
-                ++this->requests;
-                asio::write(*socket, asio::buffer(this->responses.front()));
-                this->responses.erase(this->responses.begin());
-                if (!this->endlessBytes.empty()) {
-                    this->sendEndless(socket);
-                    return;
-                }
-                if (this->closeAfterResponse) {
-                    socket->close();
-                    return;
-                }
-                this->read(socket);
-            });
-    }
-
-    auto sendEndless(const std::shared_ptr<tcp::socket> &socket) -> void
-    {
-        asio::async_write(
-            *socket, asio::buffer(this->endlessBytes),
-            [this, socket](const boost::system::error_code &error, std::size_t count) {
-                this->endlessBytesSent += count;
-                if (!error) {
-                    this->sendEndless(socket);
-                }
-            });
-    }
-
-    tcp::acceptor acceptor;
-};
-
-/** Records the events of an exchange. */
-class ExchangeRecorder : public ExchangeObserver
-{
-public:
-    auto onSent() -> void override {}
-    auto onResponseHeader(const ServerResponse &response) -> void override
-    {
-        this->status = response.status;
-        this->notExecuted = response.notExecuted;
-    }
-    auto onResponseData(std::string_view data) -> void override
-    {
-        this->body.append(data);
-        if (this->onData) {
-            this->onData();
-        }
-    }
-    auto onResponseEnd() -> void override
-    {
-        this->ended = true;
-    }
-    auto onExchangeFailed(ExchangeFailure newFailure) -> void override
-    {
-        this->failure = newFailure;
-    }
-    auto hasEnded() const -> bool
-    {
-        return this->ended || this->failure.has_value();
-    }
-
-    int status = 0;
-    bool notExecuted = false;
-    std::string body;
-    bool ended = false;
-    std::optional<ExchangeFailure> failure;
-    std::function<void()> onData; ///< Called for each part of the body.
-};
 
 /** A connection pool and one server. */
 class ServerConnectionPoolFixture : public CppUnit::TestFixture
@@ -293,7 +180,7 @@
 
     auto refusal_truncatedBeforeTheResponse_isNotBelieved() -> void
     {
-        this->rawServer->closeAfterResponse = true;
+        this->rawServer->ending = RawServer::Ending::Close;
         this->rawServer->responses = {
             "HTTP/1.1 503 Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: 0\r\n"
             "Content-Length: 30\r\n\r\n"
@@ -325,7 +212,7 @@
 
     auto response_ofAnotherAttemptWithoutLength_failsAtItsEnd() -> void
     {
-        this->rawServer->closeAfterResponse = true;
+        this->rawServer->ending = RawServer::Ending::Close;
         this->rawServer->responses = {
             "HTTP/1.1 503 Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: 0\r\n\r\nlate"};
         const auto result = this->exchange("1");
@@ -335,7 +222,7 @@
 
     auto response_withoutLength_endsWithConnection() -> void
     {
-        this->rawServer->closeAfterResponse = true;
+        this->rawServer->ending = RawServer::Ending::Close;
         this->rawServer->responses = {"HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n\r\nbody"};
         const auto result = this->exchange("1");
         CPPUNIT_ASSERT(result.ended);
@@ -344,7 +231,7 @@
 
     auto response_truncated_fails() -> void
     {
-        this->rawServer->closeAfterResponse = true;
+        this->rawServer->ending = RawServer::Ending::Close;
         this->rawServer->responses = {
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nContent-Length: 9\r\n\r\nbody"};
         CPPUNIT_ASSERT(this->exchange("1").failure == ExchangeFailure::Truncated);
@@ -352,7 +239,7 @@
 
     auto response_truncatedInsideHead_fails() -> void
     {
-        this->rawServer->closeAfterResponse = true;
+        this->rawServer->ending = RawServer::Ending::Close;
         for (const std::string head : {"HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n\r\n",
                                        "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n"
                                        "Content-Length: 0\r\n\r\n",
@@ -425,7 +312,7 @@
 
     auto server_closesWithoutResponse_isNotRetried() -> void
     {
-        this->rawServer->closeAfterResponse = true;
+        this->rawServer->ending = RawServer::Ending::Close;
         this->rawServer->responses = {""};
         CPPUNIT_ASSERT(this->exchange("1").failure == ExchangeFailure::NoResponse);
         CPPUNIT_ASSERT_EQUAL(1, this->rawServer->requests);
