A response whose status is none of HTTP is refused at once

Callers saw: after a response with status 000 and an empty body, the next response on the connection was passed on as the answer; where the server kept the connection open, the caller waited for its deadline and got 504. A status of 600 or above was passed on as it was, and on /v1 also.

Cause: all statuses below 200 counted as informational, and none was checked for its range, in the reader that the platform path, /v1 and the client of the store and peers share.

Change: statuses outside 100 to 599 are no response (RFC 9110, section 15), and neither is 101, since no request asks for another protocol. The exchange fails with 'invalid_status' and the connection is closed: 502, as the request may have run, or a retry where the route allows it; a statement that the request was not executed is not believed from such a response. 100 and 102 to 199 stay informational.

--- a/include/banyanring/gateway/exchange_failure_type.h
+++ b/include/banyanring/gateway/exchange_failure_type.h
@@ -12,6 +12,7 @@
     NoResponse, ///< Closed or reset before a response; the request may have been executed.
     Truncated, ///< Closed or reset before the end of the response.
     Malformed, ///< The received bytes are not a valid HTTP response.
+    InvalidStatus, ///< The status is none of HTTP, or switches to another protocol.
 };
 
 /**
@@ -30,6 +31,8 @@
         return "truncated";
     case ExchangeFailure::Malformed:
         return "malformed";
+    case ExchangeFailure::InvalidStatus:
+        return "invalid_status";
     }
     return "unknown";
 }
--- a/include/banyanring/gateway/outbound_connection.h
+++ b/include/banyanring/gateway/outbound_connection.h
@@ -95,6 +95,8 @@
     auto startWrite() -> void;
     auto onRead(const boost::system::error_code &error, std::size_t count) -> void;
     auto parseBuffered() -> void;
+    /** Handles the header that the parser has read; @p size is its length. */
+    auto acceptHeader(std::size_t size) -> void;
     auto finishResponse() -> void;
     auto fail(ExchangeFailure failure) -> void;
     auto resetParser() -> void;
--- a/src/gateway/outbound_connection.cpp
+++ b/src/gateway/outbound_connection.cpp
@@ -23,7 +23,17 @@
 /** The parser does not limit the length of chunk extensions and trailers. */
 constexpr std::size_t MaxUnparsedBytes = MaxHeaderBytes + MaxReadBytes;
 constexpr std::uint64_t MaxBodyBytes = 256ULL << 20U; ///< Maximum bytes of a response body.
+constexpr unsigned FirstStatus = 100; ///< Lower numbers are no statuses (RFC 9110, section 15).
+constexpr unsigned SwitchingProtocols = 101;
 constexpr unsigned FirstFinalStatus = 200; ///< Lower statuses are informational (1xx).
+constexpr unsigned LastStatus = 599; ///< Higher numbers are no statuses.
+
+/** @return Whether a response may have this status. */
+auto isValidStatus(unsigned status) -> bool
+{
+    // No request asks for another protocol, and what follows such a response is not HTTP.
+    return status >= FirstStatus && status <= LastStatus && status != SwitchingProtocols;
+}
 
 } // namespace
 
@@ -162,22 +172,7 @@
             return;
         }
         if (!this->headerReceived && this->parser->is_header_done()) {
-            if (this->parser->get().result_int() < FirstFinalStatus) {
-                this->informationalBytes += consumed;
-                if (this->informationalBytes > MaxHeaderBytes) {
-                    this->fail(ExchangeFailure::Malformed);
-                    return;
-                }
-                this->resetParser();
-                continue;
-            }
-            this->headerReceived = true;
-            // The parser applies its limit to the other ways of framing only.
-            if (this->parser->content_length().value_or(0) > MaxBodyBytes) {
-                this->fail(ExchangeFailure::Malformed);
-                return;
-            }
-            this->observer->onHeader(this->parser->get());
+            this->acceptHeader(consumed);
         }
         if (this->awaitingResponse && this->headerReceived && !this->parser->get().body().empty()) {
             auto data = std::move(this->parser->get().body());
@@ -196,6 +191,31 @@
     }
 }
 
+auto OutboundConnection::acceptHeader(std::size_t size) -> void
+{
+    const auto status = this->parser->get().result_int();
+    if (!isValidStatus(status)) {
+        this->fail(ExchangeFailure::InvalidStatus);
+        return;
+    }
+    if (status < FirstFinalStatus) {
+        this->informationalBytes += size;
+        if (this->informationalBytes > MaxHeaderBytes) {
+            this->fail(ExchangeFailure::Malformed);
+            return;
+        }
+        this->resetParser();
+        return;
+    }
+    this->headerReceived = true;
+    // The parser applies its limit to the other ways of framing only.
+    if (this->parser->content_length().value_or(0) > MaxBodyBytes) {
+        this->fail(ExchangeFailure::Malformed);
+        return;
+    }
+    this->observer->onHeader(this->parser->get());
+}
+
 auto OutboundConnection::finishResponse() -> void
 {
     const bool reusable = !this->closed && this->parser->keep_alive() && !this->writePending
