A response with a folded header or trailer line is refused

Callers saw: a header line that began with a blank or a tab was joined to the field before it. Behind the seal it reached the caller as an altered seal, and a length on such a line was not the length of the body. Control bytes and blanks inside a name or before its colon were refused already, in headers, in those of interim responses and in trailers; their tests are kept.

Cause: the parser accepts line folding, which HTTP/1.1 has deprecated, and does not tell its user. A server that spoils the start of a field's name sends the same bytes.

Change: RFC 9112, section 5.2, lets a proxy discard such a response and answer 502, as now happens ('folded_line'). The parser stops after each section (header, chunk, last chunk with its trailer) so that the bytes of headers and trailers can be checked and those of bodies are not; the parts of a body are still passed on together.

--- a/include/banyanring/gateway/exchange_failure_type.h
+++ b/include/banyanring/gateway/exchange_failure_type.h
@@ -12,6 +12,7 @@
     NoResponse, ///< Closed or reset before a response; the request may have been executed.
     Truncated, ///< Closed or reset before the end of the response.
     Malformed, ///< The received bytes are not a valid HTTP response.
+    FoldedLine, ///< A line of the header or trailer continues the line before it.
     InvalidStatus, ///< The status is none of HTTP, or switches to another protocol.
 };
 
@@ -31,6 +32,8 @@
         return "truncated";
     case ExchangeFailure::Malformed:
         return "malformed";
+    case ExchangeFailure::FoldedLine:
+        return "folded_line";
     case ExchangeFailure::InvalidStatus:
         return "invalid_status";
     }
--- a/include/banyanring/gateway/outbound_connection.h
+++ b/include/banyanring/gateway/outbound_connection.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace banyanring::gateway {
 
@@ -95,8 +96,10 @@
     auto startWrite() -> void;
     auto onRead(const boost::system::error_code &error, std::size_t count) -> void;
     auto parseBuffered() -> void;
-    /** Handles the header that the parser has read; @p size is its length. */
-    auto acceptHeader(std::size_t size) -> void;
+    /** Handles the header that the parser has read; @p header has its bytes. */
+    auto acceptHeader(std::string_view header) -> void;
+    /** Passes the bytes of the body that the parser has read to the observer. */
+    auto passOnBody() -> void;
     auto finishResponse() -> void;
     auto fail(ExchangeFailure failure) -> void;
     auto resetParser() -> void;
--- a/src/gateway/outbound_connection.cpp
+++ b/src/gateway/outbound_connection.cpp
@@ -35,6 +35,18 @@
     return status >= FirstStatus && status <= LastStatus && status != SwitchingProtocols;
 }
 
+/**
+ * Finds lines that begin with a blank. The parser joins them to the field before them, although
+ * they can also be fields whose name the server has spoilt (RFC 9112, section 5.2).
+ * @param section Bytes of a header, or of the last chunk and the trailer after it.
+ * @return Whether there is such a line.
+ */
+auto hasFoldedLine(std::string_view section) -> bool
+{
+    return section.find("\r\n ") != std::string_view::npos
+           || section.find("\r\n\t") != std::string_view::npos;
+}
+
 } // namespace
 
 OutboundConnection::OutboundConnection(asio::io_context &context) : socket(context) {}
@@ -81,7 +93,6 @@
 auto OutboundConnection::resetParser() -> void
 {
     this->parser.emplace();
-    this->parser->eager(true);
     this->parser->header_limit(MaxHeaderBytes);
     this->parser->body_limit(MaxBodyBytes);
     this->headerReceived = false;
@@ -165,24 +176,31 @@
 {
     while (this->awaitingResponse && !this->closed && this->buffer.size() > 0) {
         error_code error;
-        const auto consumed = this->parser->put(this->buffer.data(), error);
+        const auto data = this->buffer.data();
+        // Parses one section: a header, a chunk, the last chunk with the trailer, or a body.
+        const auto consumed = this->parser->put(data, error);
+        const std::string_view section(static_cast<const char *>(data.data()), consumed);
         this->buffer.consume(consumed);
         if (error && error != http::error::need_more) {
             this->fail(ExchangeFailure::Malformed);
             return;
         }
         if (!this->headerReceived && this->parser->is_header_done()) {
-            this->acceptHeader(consumed);
+            this->acceptHeader(section);
         }
-        if (this->awaitingResponse && this->headerReceived && !this->parser->get().body().empty()) {
-            auto data = std::move(this->parser->get().body());
-            this->parser->get().body().clear();
-            this->observer->onBody(std::move(data));
+        const bool isEnd = this->headerReceived && this->parser->is_done();
+        if (isEnd && this->parser->chunked() && hasFoldedLine(section)) {
+            this->fail(ExchangeFailure::FoldedLine);
+            return;
+        }
+        const bool needsMore = error == http::error::need_more;
+        if (isEnd || needsMore || this->buffer.size() == 0) {
+            this->passOnBody();
         }
-        if (this->awaitingResponse && this->headerReceived && this->parser->is_done()) {
+        if (isEnd && this->awaitingResponse) {
             this->finishResponse();
         }
-        if (error == http::error::need_more) {
+        if (needsMore) {
             return;
         }
     }
@@ -191,15 +209,19 @@
     }
 }
 
-auto OutboundConnection::acceptHeader(std::size_t size) -> void
+auto OutboundConnection::acceptHeader(std::string_view header) -> void
 {
+    if (hasFoldedLine(header)) {
+        this->fail(ExchangeFailure::FoldedLine);
+        return;
+    }
     const auto status = this->parser->get().result_int();
     if (!isValidStatus(status)) {
         this->fail(ExchangeFailure::InvalidStatus);
         return;
     }
     if (status < FirstFinalStatus) {
-        this->informationalBytes += size;
+        this->informationalBytes += header.size();
         if (this->informationalBytes > MaxHeaderBytes) {
             this->fail(ExchangeFailure::Malformed);
             return;
@@ -216,6 +238,15 @@
     this->observer->onHeader(this->parser->get());
 }
 
+auto OutboundConnection::passOnBody() -> void
+{
+    if (this->awaitingResponse && this->headerReceived && !this->parser->get().body().empty()) {
+        auto data = std::move(this->parser->get().body());
+        this->parser->get().body().clear();
+        this->observer->onBody(std::move(data));
+    }
+}
+
 auto OutboundConnection::finishResponse() -> void
 {
     const bool reusable = !this->closed && this->parser->keep_alive() && !this->writePending
