A response that a reset cuts off during the upload is no longer taken for complete

Callers saw: a server answered a long upload at once with a response without length, sent part of its body and reset the connection while the upload was still being written; the part was passed on as the complete response.

Cause: the operating system reports a reset once, to the first call after it. The pending write usually gets it ('send' ECONNRESET, then 'recv' 0, as seen with plain sockets), and its error was dropped in the belief that the pending read reports it too; that read ended as if the server had finished. The same holds while reading is paused for a slow caller, and for a timeout that a write reports.

Change: the error of a write is kept, and a response that ends with its connection is complete only if the connection was not broken. A write that fails with 'broken pipe' is no such sign: the server had finished before it reset the connection, which the sockets showed too. The handler of the write may run after that of the read (seen in a trace: read 40 bytes, read end of file, write ECONNRESET), so an end of file on a connection that is gone waits for the write's result. A connection whose write failed is not reused.

--- a/include/banyanring/gateway/outbound_connection.h
+++ b/include/banyanring/gateway/outbound_connection.h
@@ -100,6 +100,10 @@
     auto acceptHeader(std::string_view header) -> void;
     /** Passes the bytes of the body that the parser has read to the observer. */
     auto passOnBody() -> void;
+    /** Ends a response that ends with its connection. */
+    auto onEndOfFile() -> void;
+    /** Fails, as the connection ended before the response. */
+    auto failIncomplete() -> void;
     auto finishResponse() -> void;
     auto fail(ExchangeFailure failure) -> void;
     auto resetParser() -> void;
@@ -110,6 +114,7 @@
     ResponseObserver *observer = nullptr;
     std::string currentHead; ///< Head of the request that is being sent.
     std::shared_ptr<const std::string> currentBody; ///< Its body.
+    boost::system::error_code writeError; ///< Error of the last write, if it failed.
     std::size_t informationalBytes = 0; ///< Of the 1xx responses to the current request.
     bool connected = false;
     bool closed = false;
@@ -117,6 +122,7 @@
     bool headerReceived = false;
     bool readPending = false;
     bool readPaused = false;
+    bool readEnded = false; ///< A read got the end of file; the write tells whether it was a reset.
     bool writePending = false;
 };
 
--- a/src/gateway/outbound_connection.cpp
+++ b/src/gateway/outbound_connection.cpp
@@ -108,16 +108,20 @@
 auto OutboundConnection::startWrite() -> void
 {
     this->writePending = true;
+    this->writeError = {};
     auto self = this->shared_from_this();
     const std::array<asio::const_buffer, 2> output{
         asio::buffer(this->currentHead),
         this->currentBody ? asio::buffer(*this->currentBody) : asio::const_buffer{}};
-    asio::async_write(this->socket, output, [self](const error_code &, std::size_t) {
-        // A failed write is also reported by the pending read; the server may have responded before
-        // it closed the connection.
+    asio::async_write(this->socket, output, [self](const error_code &error, std::size_t) {
+        // The read goes on, as the server may have responded before it closed the connection.
         self->writePending = false;
+        self->writeError = error;
         self->currentHead.clear();
         self->currentBody.reset();
+        if (self->readEnded && !self->closed) {
+            self->onEndOfFile();
+        }
     });
 }
 
@@ -162,12 +166,33 @@
         return;
     }
     if (error == asio::error::eof && this->headerReceived && this->parser->need_eof()) {
-        error_code ignored;
-        this->parser->put_eof(ignored);
-        this->closed = true;
-        this->finishResponse();
+        this->onEndOfFile();
+        return;
+    }
+    this->failIncomplete();
+}
+
+auto OutboundConnection::onEndOfFile() -> void
+{
+    // The operating system reports a reset or timeout once. If a write gets the error, the read
+    // after it ends as if the server had finished; the handler of the write may run later.
+    if (this->writePending && isDisconnected(this->socket)) {
+        this->readEnded = true;
         return;
     }
+    // If the connection was reset after the server had finished, the write gets "broken pipe".
+    if (this->writeError && this->writeError != asio::error::broken_pipe) {
+        this->failIncomplete();
+        return;
+    }
+    error_code ignored;
+    this->parser->put_eof(ignored);
+    this->closed = true;
+    this->finishResponse();
+}
+
+auto OutboundConnection::failIncomplete() -> void
+{
     this->fail(this->headerReceived || this->buffer.size() > 0 ? ExchangeFailure::Truncated
                                                                : ExchangeFailure::NoResponse);
 }
@@ -250,7 +275,7 @@
 auto OutboundConnection::finishResponse() -> void
 {
     const bool reusable = !this->closed && this->parser->keep_alive() && !this->writePending
-                          && this->buffer.size() == 0;
+                          && !this->writeError && this->buffer.size() == 0;
     this->awaitingResponse = false;
     this->readPaused = false; // The pause was for the consumer of this response.
     auto *const former = std::exchange(this->observer, nullptr);
--- a/src/gateway/socket_options.cpp
+++ b/src/gateway/socket_options.cpp
@@ -31,4 +31,12 @@
     socket.set_option(UserTimeout(UnacknowledgedMs), ignored);
 }
 
+auto isDisconnected(boost::asio::ip::tcp::socket &socket) -> bool
+{
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    return ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0
+           && info.tcpi_state == TCP_CLOSE;
+}
+
 } // namespace banyanring::gateway
--- a/src/gateway/socket_options.h
+++ b/src/gateway/socket_options.h
@@ -11,4 +11,11 @@
  */
 auto setTcpOptions(boost::asio::ip::tcp::socket &socket) -> void;
 
+/**
+ * Tells a connection that is gone from one on which only the other side has finished sending.
+ * @param socket A socket that has been connected.
+ * @return Whether nothing can be sent any more, as the connection was reset or timed out.
+ */
+auto isDisconnected(boost::asio::ip::tcp::socket &socket) -> bool;
+
 } // namespace banyanring::gateway
--- a/tests/fleet/raw_server.h
+++ b/tests/fleet/raw_server.h
@@ -22,7 +22,8 @@
     /** What happens to a connection after a response. */
     enum class Ending : std::uint8_t {
         KeepOpen, ///< The next request is read.
-        Close, ///< Closed; the peer gets a reset if it has sent more than was read.
+        Close, ///< Closed.
+        CloseUnread, ///< Closed once there are unread bytes, which makes the system reset it.
         Reset, ///< Reset.
         FinishSending, ///< No more is sent; what the peer sends is read until it closes.
         FinishSendingAndReset, ///< No more is sent; reset a while later.
@@ -126,6 +127,13 @@
         case Ending::Close:
             socket->close();
             return;
+        case Ending::CloseUnread:
+            if (socket->available() > 0) {
+                socket->close();
+            } else {
+                this->runAfter(PieceDelay, socket, [this, socket] { this->end(socket); });
+            }
+            return;
         case Ending::Reset:
             reset(*socket);
             return;
