Process tests: what callers get for broken responses, on the platform path and on /v1

A raw server stands for a backend server of a running daemon and sends 20 broken responses (statuses, blanks and control bytes in names, folded lines, trailers) and 4 unusual sound ones; for long uploads it resets or ends the connection at seeded times. Checked: 502 without waiting for the deadline and without a repetition on a route that must not repeat requests, no complete stream, sound responses whole, the reason in the log; on /v1 the outcome 'unknown' or a cut stream.

The registration of stand-in servers, which two tests had in the same words, is a class of its own.

--- /dev/null
+++ b/tests/process/broken_response_tests.py
@@ -0,0 +1,180 @@
+"""Servers that send broken responses to daemon processes, and unusual sound ones.
+Usage: broken_response_tests.py NAME [SEED], which runs test_NAME."""
+
+import http.client
+import json
+import random
+import sys
+import time
+
+import fleet as v1
+import platform_standin as platform
+from raw_server import BROKEN_ANSWERS, RawServer, SEAL, SOUND_ANSWERS, SOUND_BODY, answer
+
+REGISTRATIONS = 8  # So that one failure does not leave a service without a server.
+DEADLINE_S = 4
+PROMPT_S = 2  # Target: a broken response does not keep its caller waiting for the deadline.
+UPLOAD_BYTES = 8 << 20  # More than the operating system takes before the server reads.
+UPLOADS = 30
+LOG_INTERVAL_S = 1.1  # The log takes a number of lines a second.
+EVENTS = b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+SOUND = answer(), "keep"
+
+
+class RawService:
+    """A platform fleet of one node with a service whose servers all are one raw server."""
+
+    def __enter__(self):
+        self.server = RawServer()
+        self.fleet = platform.Fleet(nodes=1, start=False).__enter__()
+        self.fleet.limits = {"max_body_bytes": 2 * UPLOAD_BYTES}
+        self.fleet.publish(raw=("non_idempotent", "raw"), events=("streaming", "raw"))
+        self.registrations = [platform.Registration(self.fleet.store, f"i-raw-{number}", "raw", "z0",
+                                                    self.server.port) for number in range(REGISTRATIONS)]
+        self.fleet.nodes[0].start()
+        self.fleet.wait_ready()
+        self.count = 0
+        self.fleet.wait_until("the raw servers are used", lambda: self.send("/raw/1", SOUND)[0] == 200)
+        return self
+
+    def __exit__(self, *failure):
+        for registration in self.registrations:
+            registration.stopped = True
+        self.server.stop()
+        self.fleet.__exit__(*failure)
+
+    def send(self, path, response, body=b""):
+        """Returns status, body, whether the body was complete, and the fields of the response."""
+        self.server.answers[path] = response
+        self.count += 1
+        connection = http.client.HTTPConnection(platform.HOST, timeout=2 * DEADLINE_S)
+        connection.host, connection.port = "127.0.0.1", self.fleet.nodes[0].ports["front"]
+        try:
+            connection.request("POST", path, body, {
+                "Host": platform.HOST, "X-Attempt-Id": f"raw-{self.count}",
+                "X-Deadline-Remaining": str(DEADLINE_S * 1000), "Authorization": "Bearer key-1"})
+            response = connection.getresponse()
+            try:
+                return response.status, response.read(), True, response.headers
+            except (OSError, http.client.HTTPException):
+                return response.status, b"", False, response.headers
+        except (OSError, http.client.HTTPException):
+            return 0, b"", False, {}
+        finally:
+            connection.close()
+
+    def expect_sound(self, name, path, response, body=b""):
+        status, received, complete, fields = self.send(path, response, body)
+        assert (status, received, complete) == (200, SOUND_BODY, True), (name, status, received, complete)
+        assert fields["X-Server-Seal"] == "seal", (name, fields)
+
+    def expect_broken(self, name, path, response, body=b""):
+        requests, started = self.server.requests, time.monotonic()
+        status, received, complete, _ = self.send(path, response, body)
+        assert (status, received, complete) == (502, b"", True), (name, status, received, complete)
+        assert time.monotonic() - started < PROMPT_S, f"{name}: the caller waited"
+        assert self.server.requests == requests + 1, f"{name}: the request was repeated"
+        for _ in range(2):  # Keeps the servers from being set aside.
+            self.expect_sound(f"after {name}", path, SOUND)
+
+    def last_steps(self):
+        events = map(json.loads, self.fleet.nodes[0].log.read_text().splitlines())
+        return [event["steps"] for event in events
+                if event["event"] == "request" and event["request_id"] == f"raw-{self.count}"]
+
+
+def test_platform():
+    with RawService() as service:
+        for name, response in BROKEN_ANSWERS.items():
+            service.expect_broken(name, "/raw/1", response)
+        for name, response in SOUND_ANSWERS.items():
+            service.expect_sound(name, "/raw/1", response)
+        for status in (b"404 Not Found", b"500 Internal Server Error", b"599 Other"):
+            received = service.send("/raw/1", (answer(status), "keep"))
+            assert received[:2] == (int(status[:3]), SOUND_BODY), received
+        for name, reason in (("status 000", "invalid_status"), ("name begins with a blank", "folded_line"),
+                             ("blank in a name", "malformed")):
+            time.sleep(LOG_INTERVAL_S)
+            service.send("/raw/1", BROKEN_ANSWERS[name])
+            service.fleet.wait_until("the reason is logged", lambda: any(
+                reason in step for steps in service.last_steps() for step in steps))
+
+
+def test_streams():
+    stream = SEAL + b"Content-Type: text/event-stream\r\n"
+    with RawService() as service:
+        whole = service.send("/events/1", (answer(fields=stream, body=EVENTS, length=False), "finish"))
+        assert whole[:3] == (200, EVENTS, True), whole
+        for name, response in BROKEN_ANSWERS.items():
+            status, received, complete, _ = service.send("/events/1", response)
+            assert status in (0, 502, 503) or not complete, (name, status, received)
+            service.send("/raw/1", SOUND)
+        chunked = stream + b"Transfer-Encoding: chunked\r\n"
+        chunk = b"%x\r\n%s\r\n" % (len(EVENTS), EVENTS)
+        for name, response in {
+                "reset without length": (answer(fields=stream, body=EVENTS, length=False), "reset"),
+                "cut between chunks": (answer(fields=chunked, body=chunk, length=False), "finish"),
+                "folded trailer": (answer(fields=chunked, length=False,
+                                          body=chunk + b"0\r\nX-Sum: 1\r\n X-Name: 1\r\n\r\n"), "keep")}.items():
+            status, received, complete, _ = service.send("/events/1", response, b"x" * UPLOAD_BYTES)
+            assert not complete or status in (502, 503), (name, status, received)
+
+
+def test_uploads(seed=1):
+    """Servers answer a long upload at once, and reset or end the connection at a random time."""
+    delays = random.Random(int(seed))
+    with RawService() as service:
+        upload = b"x" * UPLOAD_BYTES
+        for number in range(UPLOADS):
+            service.server.reset_delay_s = delays.choice((0, 0.001, 0.05)) * delays.random()
+            name = f"upload {number}, reset after {service.server.reset_delay_s:.4f} s"
+            part = delays.choice((b"", b"part", b"part" * 20000))
+            service.expect_broken(name, "/raw/1", (answer(body=part, length=False), "reset"), upload)
+            service.expect_sound("whole with length", "/raw/1", (answer(), "reset"), upload)
+            service.expect_sound("whole without length", "/raw/1", (answer(length=False), "finish"), upload)
+
+
+def replace_backends(fleet):
+    """Puts one raw server in the place of each backend server; returns them."""
+    servers = []
+    for name, (_, address, _) in fleet.backends.items():
+        fleet.kill(name)
+        server = RawServer(address)
+        report = json.dumps({"started_at": int(time.time() * 1000), "running": 0}).encode()
+        server.default = answer(fields=b"", body=report), "finish"
+        servers.append(server)
+    return servers
+
+
+def expect_v1(name, response, is_sound):
+    if is_sound:
+        assert (response.status, response.body) == (200, SOUND_BODY.decode()), (name, response.status, response.body)
+        return
+    assert response.status in (502, 503) or not response.complete, (name, response.status, response.body)
+    if response.complete:
+        assert response.json()["outcome"] == "unknown", (name, response.body)
+
+
+def test_v1():
+    """Plain services and engines of a fleet with the /v1 interface."""
+    with v1.Fleet(nodes=1, engines=1, plains=1, slots=64) as fleet:
+        fleet.wait_ready()
+        servers = replace_backends(fleet)
+        caller = v1.Caller(fleet, "red")
+        for path in ("/order", "/draft"):
+            cases = [(name, response, False) for name, response in BROKEN_ANSWERS.items()]
+            cases += [(name, response, True) for name, response in SOUND_ANSWERS.items()]
+            for number, (name, response, is_sound) in enumerate(cases):
+                fleet.wait_until("the servers are used", lambda: fleet.state(1)["ready"] and not any(
+                    s["suspected"] for s in fleet.state(1)["servers"].values()))
+                for server in servers:
+                    server.answers[path] = response
+                ticket = caller.ticket(path) if path == "/order" else None
+                started = time.monotonic()
+                expect_v1(name, caller.send(path, {"number": f"{path} {number}"}, ticket), is_sound)
+                assert time.monotonic() - started < PROMPT_S, f"{name}: the caller waited"
+
+
+if __name__ == "__main__":
+    globals()["test_" + sys.argv[1]](*sys.argv[2:])
+    print("passed")
--- a/tests/process/endless_response_tests.py
+++ b/tests/process/endless_response_tests.py
@@ -8,7 +8,7 @@
 import threading
 import time
 
-from platform_standin import HEARTBEAT_S, HOST, Fleet, find_free_ports
+from platform_standin import HOST, Fleet, Registration
 
 MEMORY_MB = 88  # Target: memory of the smallest VMs.
 FAULTY_SERVERS = 6
@@ -20,24 +20,14 @@
 }
 
 
-class EndlessServer:
+class EndlessServer(Registration):
     """A backend server that responds to each request with bytes until the caller closes."""
 
     def __init__(self, store, name):
-        self.store, self.name, self.framing, self.port = store, name, "close", find_free_ports()
-        self.stopped = False
-        self.listener = socket.create_server(("127.0.0.1", self.port))
-        threading.Thread(target=self.renew_registration, daemon=True).start()
+        self.framing = "close"
+        self.listener = socket.create_server(("127.0.0.1", 0))
         threading.Thread(target=self.accept, daemon=True).start()
-
-    def renew_registration(self):
-        sequence = 0
-        while not self.stopped:
-            sequence += 1
-            self.store.put(f"servers/{self.name}", {
-                "service": "faulty", "address": f"127.0.0.1:{self.port}", "zone": "z0", "slots": 8,
-                "state": "ready", "cold_left_ms": 0, "seq": sequence})
-            time.sleep(HEARTBEAT_S)
+        super().__init__(store, name, "faulty", "z0", self.listener.getsockname()[1])
 
     def accept(self):
         while True:
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -143,15 +143,12 @@
         self.respond(200, json.dumps(body).encode(), [("Store-Era", str(era))])
 
 
-class Server:
-    """A fake backend server, which renews its registration and records the requests that it ran. Once
-    `stopped`, it registers no more and still serves."""
+class Registration:
+    """The entry of a backend server in the store, which is renewed until it is `stopped`."""
 
-    def __init__(self, store, name, service, zone):
+    def __init__(self, store, name, service, zone, port):
         self.store, self.name, self.service, self.zone = store, name, service, zone
-        self.port, self.runs, self.stopped, self.state = find_free_ports(), [], False, "ready"
-        self.seen = set()  # Attempt ids of all requests that arrived, also those that were not run.
-        self.server = serve(ServerHandler, self.port, backend=self)
+        self.port, self.stopped, self.state = port, False, "ready"
         threading.Thread(target=self.renew_registration, daemon=True).start()
 
     def renew_registration(self):
@@ -164,6 +161,18 @@
             time.sleep(HEARTBEAT_S)
 
 
+class Server(Registration):
+    """A fake backend server, which records the requests that it ran. Once `stopped`, it registers no more
+    and still serves."""
+
+    def __init__(self, store, name, service, zone):
+        self.runs = []
+        self.seen = set()  # Attempt ids of all requests that arrived, also those that were not run.
+        port = find_free_ports()
+        self.server = serve(ServerHandler, port, backend=self)
+        super().__init__(store, name, service, zone, port)
+
+
 class ServerHandler(QuietHandler):
     backend = None
 
