Responses of peers and of the /v1 platform are read by the parser of all others

Callers saw, where a node asks the owner of a ticket for them: a status of 000 or 600, a response after 'blank in a name', 'blank before the colon', a control byte, a folded line or a line without a colon, all passed on as responses; a sound response after an interim one was lost, as the interim one was passed on. A configuration from a platform that sent such heads came into force, and banyanringctl showed such responses as good.

Cause: these three read with the client of cpprestsdk, which takes any number as a status, passes on interim responses and accepts any name (seen with a raw server and 'banyanringctl dump': 5 of 5 such names accepted).

Change: they use the project's HttpClient, which already reads the responses of backend servers on /v1. It gains a waiting form, cancelAll() for the end of the reader, and bounds on bodies that had none. The client of cpprestsdk is no longer used; its listener is.

--- a/include/banyanring/adapters/backend_client.h
+++ b/include/banyanring/adapters/backend_client.h
@@ -12,9 +12,8 @@
 namespace banyanring {
 
 /**
- * Sends dispatches to backend servers and forwards requests to peers. No function blocks:
- * dispatches run on the thread of the HTTP client, and forwarded requests as tasks of the HTTP
- * library.
+ * Sends dispatches to backend servers and forwards requests to peers. No function blocks: all run
+ * on the thread of the HTTP client.
  */
 class BackendClient
 {
@@ -54,7 +53,7 @@
     };
     using InFlightPtr = std::shared_ptr<InFlightDispatch>;
 
-    auto onHeader(const InFlightPtr &inFlight, int status, std::string contentType) -> void;
+    auto onHeader(const InFlightPtr &inFlight, const gateway::ResponseHeader &header) -> void;
     auto onBody(const InFlightPtr &inFlight, std::string_view bytes) -> void;
     auto finish(const InFlightPtr &inFlight) -> void;
     auto fail(const InFlightPtr &inFlight, bool written, const std::string &error) -> void;
--- a/include/banyanring/adapters/http_client.h
+++ b/include/banyanring/adapters/http_client.h
@@ -1,4 +1,4 @@
-/** @file http_client.h HTTP requests to backend servers, each on a connection of its own. */
+/** @file http_client.h HTTP requests, each on a connection of its own. */
 #pragma once
 
 #include "banyanring/core/ids_type.h"
@@ -15,6 +15,29 @@
 
 class HttpExchange;
 using HttpExchangePtr = std::shared_ptr<HttpExchange>;
+using HttpBodyHandler = std::function<void(std::string_view bytes)>; ///< Receives parts of a body.
+
+/** A complete response. */
+struct HttpReply
+{
+    gateway::ResponseHeader header; ///< Status and fields.
+    std::string body;
+};
+
+/**
+ * Reads the media type of a response.
+ * @param header Header of the response.
+ * @return Value of the Content-Type field; empty without one.
+ */
+auto contentTypeOf(const gateway::ResponseHeader &header) -> std::string;
+
+/**
+ * Collects a body.
+ * @param body Where the bytes are appended; must outlive the exchange.
+ * @param maxBytes A longer body fails the exchange.
+ * @return The handler.
+ */
+auto collectBody(std::string &body, std::size_t maxBytes) -> HttpBodyHandler;
 
 /**
  * Sends requests from a thread of its own, which also calls all handlers. Each connection is used
@@ -31,8 +54,8 @@
     struct Handlers
     {
         /** An exception ends the exchange, as in onBody; its text is the error. */
-        std::function<void(int status, std::string contentType)> onHeader;
-        std::function<void(std::string_view bytes)> onBody;
+        std::function<void(const gateway::ResponseHeader &header)> onHeader;
+        HttpBodyHandler onBody;
         std::function<void()> onEnd; ///< The response is complete.
         /** @param connected Whether the request may have reached the server. */
         std::function<void(bool connected, const std::string &error)> onFailed;
@@ -55,6 +78,21 @@
     auto send(const std::string &address, Request request, Duration timeout, Handlers handlers)
         -> HttpExchangePtr;
 
+    /**
+     * Sends a request and waits for the end of its response. Handlers must not call it.
+     * @param address "host:port".
+     * @param request The request, as for send().
+     * @param timeout Maximum time until the end of the response.
+     * @param onBody Receives the body while it arrives; called by the client's thread.
+     * @return Header of the response.
+     * @throws std::runtime_error with the reason if there is no complete response.
+     */
+    auto fetch(const std::string &address, Request request, Duration timeout,
+               HttpBodyHandler onBody) -> gateway::ResponseHeader;
+
+    /** Fails all exchanges, also those that are sent later. May be called by any thread. */
+    auto cancelAll() -> void;
+
     /**
      * Closes the connection of an exchange, which then fails. May be called by any thread.
      * @param exchange The exchange; ignored if it has ended.
@@ -67,6 +105,7 @@
     boost::asio::io_context context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> workGuard;
     std::set<HttpExchangePtr> openExchanges; ///< Used by the thread only.
+    bool cancelling = false; ///< New exchanges fail; used by the thread only.
     std::thread thread;
 };
 
--- a/include/banyanring/adapters/platform_reader.h
+++ b/include/banyanring/adapters/platform_reader.h
@@ -2,13 +2,13 @@
 #pragma once
 
 #include "banyanring/adapters/config_codec.h"
+#include "banyanring/adapters/http_client.h"
 #include "banyanring/ports/bounded_queue.h"
 #include "banyanring/ports/inbox.h"
 
 #include <atomic>
 #include <functional>
 #include <mutex>
-#include <pplx/pplxtasks.h>
 #include <thread>
 
 namespace banyanring {
@@ -76,7 +76,7 @@
     std::map<std::string, Revision> shardRevisions; ///< By shard; empty if a peer sent the shards.
     std::string vmListText; ///< JSON of the VM list in force.
     std::atomic<bool> stopping = false;
-    pplx::cancellation_token_source cancelRequests;
+    HttpClient httpClient;
     std::thread configThread;
     std::thread vmListThread;
 };
--- a/src/adapters/backend_client.cpp
+++ b/src/adapters/backend_client.cpp
@@ -5,16 +5,12 @@
 #include "banyanring/ports/clock_func.h"
 
 #include <algorithm>
-#include <cpprest/http_client.h>
 
 namespace banyanring {
 
 namespace {
 
 namespace http = boost::beast::http;
-using web::http::http_request;
-using web::http::http_response;
-using web::http::client::http_client;
 
 /** Interval of checks for stalled engines. */
 constexpr std::chrono::milliseconds StallCheckInterval{100};
@@ -23,14 +19,6 @@
 constexpr std::size_t MaxTotalBodyBytes = 48U << 20U;
 constexpr std::chrono::seconds ForwardTimeout{300}; ///< Maximum time for the response of a peer.
 
-/** @return A client for the server at @p address ("host:port"). */
-auto makeClient(const std::string &address, std::chrono::seconds timeout) -> http_client
-{
-    web::http::client::http_client_config config;
-    config.set_timeout(timeout);
-    return {"http://" + address, config};
-}
-
 } // namespace
 
 BackendClient::BackendClient(CallerListener &callers, Inbox &inbox, Duration stallTimeout)
@@ -130,8 +118,8 @@
     const std::scoped_lock lock(this->mutex);
     inFlight->exchange = this->httpClient.send(
         action.address, std::move(request), std::chrono::seconds(maxRunSeconds + 1),
-        {[this, inFlight](int status, std::string contentType) {
-             this->onHeader(inFlight, status, std::move(contentType));
+        {[this, inFlight](const gateway::ResponseHeader &header) {
+             this->onHeader(inFlight, header);
          },
          [this, inFlight](std::string_view bytes) { this->onBody(inFlight, bytes); },
          [this, inFlight] { this->finish(inFlight); },
@@ -143,12 +131,12 @@
     }
 }
 
-auto BackendClient::onHeader(const InFlightPtr &inFlight, int status, std::string contentType)
+auto BackendClient::onHeader(const InFlightPtr &inFlight, const gateway::ResponseHeader &header)
     -> void
 {
     this->inbox.tryPush(Lane::Control, Event(BackendFirstByte{inFlight->action.dispatch}));
-    inFlight->status = status;
-    inFlight->contentType = std::move(contentType);
+    inFlight->status = static_cast<int>(header.result_int());
+    inFlight->contentType = contentTypeOf(header);
     if (inFlight->action.kind == BackendKind::Engine) {
         inFlight->streamingToCaller = this->callers.startStream(
             inFlight->action.call, inFlight->status, inFlight->contentType);
@@ -244,37 +232,35 @@
     if (!call) {
         return;
     }
-    http_request request(call->request.method());
-    request.set_request_uri(call->request.relative_uri());
-    request.headers().add("Connection", "close");
-    request.headers().add("X-Banyan-Forwarded", "1");
-    request.headers().add("X-Banyan-Request-Id", call->requestId);
-    request.headers().add("X-Banyan-Key", call->apiKey);
-    request.headers().add("X-Banyan-Ticket", call->ticket);
-    request.headers().add("X-Banyan-Deadline-Ms", call->deadlineHeader);
+    HttpClient::Request request;
+    request.method_string(call->request.method());
+    request.target(call->request.relative_uri().to_string());
+    request.set("X-Banyan-Forwarded", "1");
+    request.set("X-Banyan-Request-Id", call->requestId);
+    request.set("X-Banyan-Key", call->apiKey);
+    request.set("X-Banyan-Ticket", call->ticket);
+    request.set("X-Banyan-Deadline-Ms", call->deadlineHeader);
     if (!call->body.empty()) {
-        request.set_body(call->body, call->contentType);
+        request.set(http::field::content_type, call->contentType);
+        request.body() = call->body;
     }
-    makeClient(action.address, ForwardTimeout)
-        .request(request)
-        .then([](const http_response &response) {
-            return response.extract_vector().then(
-                [response](const std::vector<unsigned char> &body) {
-                    return std::pair{response, std::string(body.begin(), body.end())};
-                });
-        })
-        .then([this, call](const pplx::task<std::pair<http_response, std::string>> &task) {
-            try {
-                const auto [response, body] = task.get();
-                this->callers.respond(call->id, response.status_code(),
-                                      response.headers().content_type(), body, call->requestId);
-            } catch (const std::exception &error) {
-                logEvent("forward_failed",
-                         {{"request_id", call->requestId}, {"error", error.what()}});
-                this->callers.reject(
-                    {call->id, {Outcome::Unknown, Reason::TicketOwnerGone, {}}, call->requestId});
-            }
-        });
+    const auto reply = std::make_shared<HttpReply>();
+    this->httpClient.send(
+        action.address, std::move(request), ForwardTimeout,
+        {[reply](const gateway::ResponseHeader &header) { reply->header = header; },
+         [reply, collect = collectBody(reply->body, MaxBodyBytes)](std::string_view bytes) {
+             collect(bytes);
+         },
+         [this, call, reply] {
+             this->callers.respond(call->id, static_cast<int>(reply->header.result_int()),
+                                   contentTypeOf(reply->header), std::move(reply->body),
+                                   call->requestId);
+         },
+         [this, call](bool, const std::string &error) {
+             logEvent("forward_failed", {{"request_id", call->requestId}, {"error", error}});
+             this->callers.reject(
+                 {call->id, {Outcome::Unknown, Reason::TicketOwnerGone, {}}, call->requestId});
+         }});
 }
 
 } // namespace banyanring
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -1,4 +1,4 @@
-/** @file http_client.cpp HTTP requests to backend servers, each on a connection of its own. */
+/** @file http_client.cpp HTTP requests, each on a connection of its own. */
 #include "banyanring/adapters/http_client.h"
 
 #include "banyanring/adapters/log_func.h"
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/write.hpp>
+#include <future>
 #include <sstream>
 
 namespace banyanring {
@@ -19,9 +20,26 @@
 using gateway::ExchangeFailure;
 
 constexpr unsigned HttpVersion = 11; ///< HTTP/1.1, as the library writes it.
+constexpr auto Cancelled = "cancelled"; ///< Error of an exchange that this side ended.
 
 } // namespace
 
+auto contentTypeOf(const gateway::ResponseHeader &header) -> std::string
+{
+    return header[http::field::content_type].to_string();
+}
+
+auto collectBody(std::string &body, std::size_t maxBytes) -> HttpBodyHandler
+{
+    return [&body, maxBytes](std::string_view bytes) {
+        if (body.size() + bytes.size() > maxBytes) {
+            throw std::runtime_error("response body is longer than " + std::to_string(maxBytes)
+                                     + " bytes");
+        }
+        body.append(bytes);
+    };
+}
+
 /** One request and its response. */
 class HttpExchange : public gateway::ResponseObserver,
                      public std::enable_shared_from_this<HttpExchange>
@@ -99,11 +117,7 @@
 
     auto onHeader(const gateway::ResponseHeader &header) -> void override
     {
-        const auto contentType = header[http::field::content_type];
-        this->callHandler([&] {
-            this->handlers.onHeader(static_cast<int>(header.result_int()),
-                                    std::string(contentType.data(), contentType.size()));
-        });
+        this->callHandler([&] { this->handlers.onHeader(header); });
     }
 
     auto onBody(std::string data) -> void override
@@ -178,13 +192,44 @@
     bytes << request;
     auto exchange = std::make_shared<HttpExchange>(this->context, this->openExchanges,
                                                    std::move(bytes).str(), std::move(handlers));
-    asio::post(this->context, [exchange, address, timeout] { exchange->start(address, timeout); });
+    asio::post(this->context, [this, exchange, address, timeout] {
+        if (this->cancelling) {
+            exchange->end(Cancelled);
+        } else {
+            exchange->start(address, timeout);
+        }
+    });
     return exchange;
 }
 
+auto HttpClient::fetch(const std::string &address, Request request, Duration timeout,
+                       HttpBodyHandler onBody) -> gateway::ResponseHeader
+{
+    const auto result = std::make_shared<std::promise<gateway::ResponseHeader>>();
+    const auto received = std::make_shared<gateway::ResponseHeader>();
+    this->send(address, std::move(request), timeout,
+               {[received](const gateway::ResponseHeader &header) { *received = header; },
+                std::move(onBody), [result, received] { result->set_value(std::move(*received)); },
+                [result](bool, const std::string &error) {
+                    result->set_exception(std::make_exception_ptr(std::runtime_error(error)));
+                }});
+    return result->get_future().get();
+}
+
+auto HttpClient::cancelAll() -> void
+{
+    asio::post(this->context, [this] {
+        this->cancelling = true;
+        const auto exchanges = this->openExchanges; // Each removes itself as it ends.
+        for (const auto &exchange : exchanges) {
+            exchange->end(Cancelled);
+        }
+    });
+}
+
 auto HttpClient::cancel(const HttpExchangePtr &exchange) -> void
 {
-    asio::post(this->context, [exchange] { exchange->end("cancelled"); });
+    asio::post(this->context, [exchange] { exchange->end(Cancelled); });
 }
 
 } // namespace banyanring
--- a/src/adapters/load_report_poller.cpp
+++ b/src/adapters/load_report_poller.cpp
@@ -90,7 +90,7 @@
         this->inbox.tryPush(Lane::Control, Event(report));
     };
     this->httpClient.send(target.address, std::move(request), RequestTimeout,
-                          {[](int, const std::string &) {},
+                          {[](const gateway::ResponseHeader &) {},
                            [text](std::string_view bytes) {
                                text->append(bytes);
                                if (text->size() > MaxReportBytes) {
--- a/src/adapters/platform_reader.cpp
+++ b/src/adapters/platform_reader.cpp
@@ -4,7 +4,6 @@
 #include "banyanring/adapters/log_func.h"
 #include "banyanring/adapters/peer_codec.h"
 
-#include <cpprest/http_client.h>
 #include <nlohmann/json.hpp>
 
 namespace banyanring {
@@ -12,7 +11,7 @@
 namespace {
 
 using nlohmann::json;
-using web::http::client::http_client;
+namespace http = boost::beast::http;
 
 constexpr int LongPollMs = 5000; ///< Maximum time that the service holds one long poll.
 constexpr std::chrono::seconds RequestTimeout{8}; ///< Above LongPollMs.
@@ -34,7 +33,7 @@
 PlatformReader::~PlatformReader()
 {
     this->stopping = true;
-    this->cancelRequests.cancel();
+    this->httpClient.cancelAll();
     this->configThread.join();
     this->vmListThread.join();
 }
@@ -45,19 +44,14 @@
         const std::scoped_lock lock(this->mutex);
         ++this->currentStatus.requests;
     }
-    web::http::client::http_client_config config;
-    config.set_timeout(RequestTimeout);
-    http_client client("http://" + this->platform, config);
-    // Blocking is safe here: this is not a thread of the pool of the HTTP library.
-    const auto response =
-        client.request(web::http::methods::GET, path, this->cancelRequests.get_token()).get();
-    if (response.status_code() != web::http::status_codes::OK) {
-        throw std::runtime_error("status " + std::to_string(response.status_code()));
-    }
-    auto text = response.extract_utf8string(true).get();
-    if (text.size() > MaxValueBytes) {
-        throw std::runtime_error("response of " + std::to_string(text.size())
-                                 + " bytes is too large");
+    HttpClient::Request request;
+    request.method(http::verb::get);
+    request.target(path);
+    std::string text;
+    const auto header = this->httpClient.fetch(this->platform, std::move(request), RequestTimeout,
+                                               collectBody(text, MaxValueBytes));
+    if (header.result() != http::status::ok) {
+        throw std::runtime_error("status " + std::to_string(header.result_int()));
     }
     return text;
 }
--- a/src/tool/commands_fleet.cpp
+++ b/src/tool/commands_fleet.cpp
@@ -1,11 +1,10 @@
 /** @file commands_fleet.cpp The commands that send requests to nodes. */
 #include "commands.h"
 
+#include "banyanring/adapters/http_client.h"
+
 #include <array>
-#include <cpprest/http_client.h>
-#include <cpprest/interopstream.h>
-#include <cpprest/rawptrstream.h>
-#include <cpprest/streams.h>
+#include <cpprest/base_uri.h>
 #include <iomanip>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -16,31 +15,41 @@
 
 using nlohmann::json;
 using nlohmann::ordered_json;
-using web::http::http_request;
-using web::http::http_response;
+namespace http = boost::beast::http;
 
 constexpr std::chrono::seconds RequestTimeout{60};
+constexpr std::size_t MaxBodyBytes = 64U << 20U; ///< Longer bodies are read only to be printed.
 
 /** Sends a request and waits for the response. */
-auto sendRequest(const std::string &address, const http_request &request) -> http_response
+auto sendRequest(const std::string &address, const HttpClient::Request &request) -> HttpReply
 {
-    web::http::client::http_client_config config;
-    config.set_timeout(RequestTimeout);
-    return web::http::client::http_client("http://" + address, config).request(request).get();
+    HttpClient client;
+    HttpReply reply;
+    reply.header =
+        client.fetch(address, request, RequestTimeout, collectBody(reply.body, MaxBodyBytes));
+    return reply;
 }
 
 /** @return A request with an API key, unless that is empty. */
-auto makeRequest(const web::http::method &method, const std::string &path, const std::string &key)
-    -> http_request
+auto makeRequest(http::verb method, const std::string &path, const std::string &key)
+    -> HttpClient::Request
 {
-    http_request request(method);
-    request.set_request_uri(path);
+    HttpClient::Request request;
+    request.method(method);
+    request.target(path);
     if (!key.empty()) {
-        request.headers().add("Authorization", "Bearer " + key);
+        request.set(http::field::authorization, "Bearer " + key);
     }
     return request;
 }
 
+/** Gives a request a JSON body. */
+auto setJsonBody(HttpClient::Request &request, std::string body) -> void
+{
+    request.set(http::field::content_type, "application/json");
+    request.body() = std::move(body);
+}
+
 /** Prints the row of one node in the status table. */
 auto printRow(const std::string &node, const ordered_json &state) -> void
 {
@@ -80,39 +89,24 @@
               << "\n";
 }
 
-/** Prints a response, as it arrives unless JSON is requested; returns the exit status. */
-auto printResponse(const Arguments &arguments, const http_response &response) -> int
-{
-    const auto id = response.headers().find("X-Banyan-Request-Id");
-    const auto requestId = id == response.headers().end() ? std::string{} : id->second;
-    if (arguments.json) {
-        std::cout << ordered_json{{"status", response.status_code()},
-                                  {"request_id", requestId},
-                                  {"body", response.extract_utf8string(true).get()}}
-                         .dump(2)
-                  << "\n";
-    } else {
-        const concurrency::streams::stdio_ostream<std::uint8_t> out(std::cout);
-        response.body().read_to_end(out.streambuf()).get();
-        std::cout << std::endl;
-        std::cerr << "status " << response.status_code() << ", request " << requestId << "\n";
-    }
-    return response.status_code() == web::http::status_codes::OK ? ExitSuccess : ExitNegative;
-}
-
 /**
  * Sends a request to the addresses in turn until one responds. Without a ticket there is no retry
  * after a failure, as the request may have run.
  */
-auto sendWithFailover(const std::vector<std::string> &addresses,
-                      const std::function<http_request()> &buildRequest, bool hasTicket)
-    -> http_response
+auto sendWithFailover(const std::vector<std::string> &addresses, const HttpClient::Request &request,
+                      bool hasTicket, const HttpBodyHandler &onBody) -> gateway::ResponseHeader
 {
+    bool bodyBegun = false;
+    const auto handler = [&](std::string_view bytes) {
+        bodyBegun = true;
+        onBody(bytes);
+    };
     for (std::size_t index = 0;; ++index) {
         try {
-            return sendRequest(addresses.at(index), buildRequest());
+            HttpClient client;
+            return client.fetch(addresses.at(index), request, RequestTimeout, handler);
         } catch (const std::exception &error) {
-            if (!hasTicket || index + 1 >= addresses.size()) {
+            if (!hasTicket || bodyBegun || index + 1 >= addresses.size()) {
                 throw;
             }
             std::cerr << addresses.at(index) << ": " << error.what()
@@ -121,17 +115,39 @@
     }
 }
 
+/** Sends a request and prints its response, as it arrives unless JSON is requested. */
+auto printResponse(const Arguments &arguments, const std::vector<std::string> &addresses,
+                   const HttpClient::Request &request, bool hasTicket) -> int
+{
+    HttpReply reply;
+    const auto print = [](std::string_view bytes) { std::cout << bytes << std::flush; };
+    reply.header = sendWithFailover(addresses, request, hasTicket,
+                                    arguments.json ? collectBody(reply.body, MaxBodyBytes)
+                                                   : HttpBodyHandler(print));
+    const auto requestId = reply.header["X-Banyan-Request-Id"].to_string();
+    if (arguments.json) {
+        std::cout << ordered_json{{"status", reply.header.result_int()},
+                                  {"request_id", requestId},
+                                  {"body", reply.body}}
+                         .dump(2)
+                  << "\n";
+    } else {
+        std::cout << std::endl;
+        std::cerr << "status " << reply.header.result_int() << ", request " << requestId << "\n";
+    }
+    return reply.header.result() == http::status::ok ? ExitSuccess : ExitNegative;
+}
+
 } // namespace
 
 auto httpGet(const std::string &address, const std::string &path) -> std::string
 {
-    const auto response = sendRequest(address, makeRequest(web::http::methods::GET, path, {}));
-    auto text = response.extract_utf8string(true).get();
-    if (response.status_code() != web::http::status_codes::OK) {
+    const auto response = sendRequest(address, makeRequest(http::verb::get, path, {}));
+    if (response.header.result() != http::status::ok) {
         throw std::runtime_error(address + path + ": status "
-                                 + std::to_string(response.status_code()));
+                                 + std::to_string(response.header.result_int()));
     }
-    return text;
+    return response.body;
 }
 
 auto runStatus(const Arguments &arguments) -> int
@@ -222,35 +238,25 @@
     }
     const auto &key = words[2];
     const auto addressResponse =
-        json::parse(sendRequest(words[0], makeRequest(web::http::methods::GET, "/v1/address", key))
-                        .extract_utf8string(true)
-                        .get());
+        json::parse(sendRequest(words[0], makeRequest(http::verb::get, "/v1/address", key)).body);
     if (!addressResponse.contains("addresses")) {
         std::cout << addressResponse.dump() << "\n";
         return ExitNegative;
     }
     const auto addresses = addressResponse["addresses"].get<std::vector<std::string>>();
-    std::string ticket;
+    auto request = makeRequest(http::verb::post, words[1], key);
+    setJsonBody(request, words[3]);
     if (useTicket) {
-        auto ticketRequest = makeRequest(web::http::methods::POST, "/v1/tickets", key);
-        ticketRequest.set_body(json{{"path", words[1]}}.dump(), "application/json");
-        const auto ticketResponse = json::parse(
-            sendRequest(addresses.front(), ticketRequest).extract_utf8string(true).get());
+        auto ticketRequest = makeRequest(http::verb::post, "/v1/tickets", key);
+        setJsonBody(ticketRequest, json{{"path", words[1]}}.dump());
+        const auto ticketResponse = json::parse(sendRequest(addresses.front(), ticketRequest).body);
         if (!ticketResponse.contains("ticket")) {
             std::cout << ticketResponse.dump() << "\n";
             return ExitNegative;
         }
-        ticket = ticketResponse["ticket"].get<std::string>();
+        request.set("X-Banyan-Ticket", ticketResponse["ticket"].get<std::string>());
     }
-    const auto buildRequest = [&] {
-        auto request = makeRequest(web::http::methods::POST, words[1], key);
-        request.set_body(words[3], "application/json");
-        if (!ticket.empty()) {
-            request.headers().add("X-Banyan-Ticket", ticket);
-        }
-        return request;
-    };
-    return printResponse(arguments, sendWithFailover(addresses, buildRequest, useTicket));
+    return printResponse(arguments, addresses, request, useTicket);
 }
 
 } // namespace banyanring::tool
--- a/tests/process/broken_response_tests.py
+++ b/tests/process/broken_response_tests.py
@@ -1,9 +1,10 @@
-"""Servers that send broken responses to daemon processes, and unusual sound ones.
+"""Servers, peers and platforms that send broken responses to daemon processes, and unusual sound ones.
 Usage: broken_response_tests.py NAME [SEED], which runs test_NAME."""
 
 import http.client
 import json
 import random
+import subprocess
 import sys
 import time
 
@@ -17,6 +18,8 @@
 UPLOAD_BYTES = 8 << 20  # More than the operating system takes before the server reads.
 UPLOADS = 30
 LOG_INTERVAL_S = 1.1  # The log takes a number of lines a second.
+READER_CASES = ("status 000 before a sound response", "status 600", "blank in a name", "blank before the colon",
+                "name begins with a blank", "no colon", *SOUND_ANSWERS)
 EVENTS = b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
 SOUND = answer(), "keep"
 
@@ -175,6 +178,64 @@
                 assert time.monotonic() - started < PROMPT_S, f"{name}: the caller waited"
 
 
+def test_peer():
+    """A peer that is asked on behalf of a caller."""
+    with v1.Fleet(nodes=2, settings={"lapse_ms": 4000, "ticket_ms": 60000}) as fleet:
+        fleet.wait_ready()
+        entry, owner = fleet.nodes[1][0], fleet.nodes[2][0]
+        caller = v1.Caller(fleet, "red")
+        cases = [(name, response, False) for name, response in BROKEN_ANSWERS.items()]
+        cases += [(name, response, True) for name, response in SOUND_ANSWERS.items()]
+        tickets = [caller.ticket("/order", owner) for _ in cases]
+        fleet.kill("node-2")
+        peer = RawServer(owner)
+        for (name, response, is_sound), ticket in zip(cases, tickets):
+            peer.answers["/order"] = response
+            started = time.monotonic()
+            expect_v1(name, caller.send("/order", {}, ticket, address=entry), is_sound)
+            assert time.monotonic() - started < PROMPT_S, f"{name}: the caller waited"
+
+
+def test_reader():
+    """The platform of a fleet with the /v1 interface."""
+    with v1.Fleet(nodes=1, engines=0, plains=1) as fleet:
+        fleet.wait_ready()
+        revision = fleet.state(1)["config_revision"]
+        fleet.kill("platform")
+        server = RawServer(fleet.platform)
+        for name in READER_CASES:
+            response, ending = {**BROKEN_ANSWERS, **SOUND_ANSWERS}[name]
+            revision += 1
+            manifest = json.dumps({"revision": revision, "shards": {
+                shard: revision for shard in fleet.config}}).encode()
+            response = response.replace(b"Content-Length: 5\r\n", b"Content-Length: %d\r\n" % len(manifest))
+            response = response.replace(b"\r\n5\r\n", b"\r\n%x\r\n" % len(manifest))
+            server.answers = {f"/v1/config/{shard}": (answer(fields=b"", body=json.dumps(
+                {"revision": revision, "value": {shard: entries}}).encode()), "finish")
+                for shard, entries in fleet.config.items()}
+            server.answers["/v1/config"] = response.replace(SOUND_BODY, manifest), ending
+            if name in SOUND_ANSWERS:
+                fleet.wait_until(f"{name}: in force",
+                                 lambda: fleet.state(1)["config_revision"] == revision, 5)
+                continue
+            requests = server.requests
+            fleet.wait_until(f"{name}: it is asked again", lambda: server.requests > requests + 1, 5)
+            assert fleet.state(1)["config_revision"] < revision, f"{name}: was taken for a response"
+            assert fleet.state(1)["ready"]
+
+
+def test_tool():
+    """The node that the operators' tool asks."""
+    server = RawServer()
+    for name, response in {**BROKEN_ANSWERS, **SOUND_ANSWERS}.items():
+        server.answers["/debug/state"] = response
+        result = subprocess.run([str(v1.BUILD / "banyanringctl"), "dump", f"127.0.0.1:{server.port}"],
+                                capture_output=True, timeout=2 * PROMPT_S, check=False)
+        expected = (0, SOUND_BODY) if name in SOUND_ANSWERS else (3, b"")
+        assert (result.returncode, result.stdout) == expected, (name, result)
+        assert result.returncode == 0 or result.stderr, f"{name}: no reason is shown"
+
+
 if __name__ == "__main__":
     globals()["test_" + sys.argv[1]](*sys.argv[2:])
     print("passed")
