A response in a transfer coding that nobody asked for is refused

Found while looking for what else of the kind is let through: callers got the bytes of the framing as a body ('chunked, gzip', 'xchunked'), or a coded body without the field that names its coding ('gzip', 'gzip, chunked').

Cause: the parser knows only chunks and reads any other coding until the end of the connection, or by a length that does not apply; the field itself concerns one connection and is not passed on.

Change: a Transfer-Encoding other than 'chunked' fails the exchange ('unknown_coding'). Requests ask for no coding (TE), so a sound server sends none.

--- a/include/banyanring/gateway/exchange_failure_type.h
+++ b/include/banyanring/gateway/exchange_failure_type.h
@@ -14,6 +14,7 @@
     Malformed, ///< The received bytes are not a valid HTTP response.
     FoldedLine, ///< A line of the header or trailer continues the line before it.
     InvalidStatus, ///< The status is none of HTTP, or switches to another protocol.
+    UnknownCoding, ///< The body is in a transfer coding that no request asked for.
 };
 
 /**
@@ -36,6 +37,8 @@
         return "folded_line";
     case ExchangeFailure::InvalidStatus:
         return "invalid_status";
+    case ExchangeFailure::UnknownCoding:
+        return "unknown_coding";
     }
     return "unknown";
 }
--- a/src/gateway/outbound_connection.cpp
+++ b/src/gateway/outbound_connection.cpp
@@ -35,6 +35,13 @@
     return status >= FirstStatus && status <= LastStatus && status != SwitchingProtocols;
 }
 
+/** @return Whether the parser does not decode the transfer coding of a body. */
+auto isInUnknownCoding(const ResponseHeader &header) -> bool
+{
+    const auto field = header.find(http::field::transfer_encoding);
+    return field != header.end() && !boost::beast::iequals(field->value(), "chunked");
+}
+
 /**
  * Finds lines that begin with a blank. The parser joins them to the field before them, although
  * they can also be fields whose name the server has spoilt (RFC 9112, section 5.2).
@@ -254,6 +261,10 @@
         this->resetParser();
         return;
     }
+    if (isInUnknownCoding(this->parser->get())) {
+        this->fail(ExchangeFailure::UnknownCoding);
+        return;
+    }
     this->headerReceived = true;
     // The parser applies its limit to the other ways of framing only.
     if (this->parser->content_length().value_or(0) > MaxBodyBytes) {
