--- a/src/gateway/active_request_exchange.cpp
+++ b/src/gateway/active_request_exchange.cpp
@@ -224,6 +224,7 @@
     this->body.clear();
     this->endExchange(fleet::AttemptOutcome::Failed);
     this->addStep("server_failed", id + " " + std::string(reason));
+    this->scheduler.metrics.countEvent("server_failed_" + std::string(reason));
     if (this->currentMove() != nullptr) {
         this->adoptMove();
         return;
--- a/src/gateway/active_request_move.cpp
+++ b/src/gateway/active_request_move.cpp
@@ -153,8 +153,9 @@
 {
     const auto &move = *this->currentMove();
     auto &newServer = *move.server;
-    this->addStep("move_failed",
-                  newServer.registration.id + " " + std::string(failureName(failure)));
+    const std::string reason(failureName(failure));
+    this->addStep("move_failed", newServer.registration.id + " " + reason);
+    this->scheduler.metrics.countEvent("move_failed_" + reason);
     if (failure == ExchangeFailure::NotSent) {
         this->triedServers.insert(newServer.registration.id);
         this->recordUnreachable(newServer);
--- a/tests/process/broken_response_tests.py
+++ b/tests/process/broken_response_tests.py
@@ -101,6 +101,8 @@
             service.send("/raw/1", BROKEN_ANSWERS[name])
             service.fleet.wait_until("the reason is logged", lambda: any(
                 reason in step for steps in service.last_steps() for step in steps))
+            _, metrics = platform.get(service.fleet.nodes[0].metrics_port(), "/metrics")
+            assert f'event="server_failed_{reason}"'.encode() in metrics, f"{reason} is not counted"
 
 
 def test_streams():
