--- a/tests/fleet/raw_response_fixture.h
+++ b/tests/fleet/raw_response_fixture.h
@@ -15,13 +15,19 @@
 public:
     auto setUp() -> void override
     {
-        this->rawServer = std::make_unique<RawServer>(this->context);
+        this->startServer();
+    }
+
+protected:
+    /** Starts the server; see RawServer for the size of its receive buffer. */
+    auto startServer(std::optional<int> receiveBufferBytes = std::nullopt) -> void
+    {
+        this->rawServer = std::make_unique<RawServer>(this->context, receiveBufferBytes);
         this->server = std::make_shared<fleet::Server>();
         this->server->registration.id = "i-1";
         this->server->registration.address = this->rawServer->address();
     }
 
-protected:
     /** @return Status line of a response to the first attempt, and the field of its id. */
     static auto head(const std::string &status) -> std::string
     {
--- a/tests/fleet/reset_response_tests.cpp
+++ b/tests/fleet/reset_response_tests.cpp
@@ -1,8 +1,5 @@
 /** @file reset_response_tests.cpp Tests of responses that end while the request is being sent. */
-#include "banyanring/gateway/server_connection_pool.h"
-#include "raw_server.h"
-
-#include <cppunit/extensions/HelperMacros.h>
+#include "raw_response_fixture.h"
 
 namespace {
 
@@ -15,7 +12,7 @@
 using std::chrono::milliseconds;
 
 /** A server that responds to a long upload without reading it. */
-class ResetResponseFixture : public CppUnit::TestFixture
+class ResetResponseFixture : public test::RawResponseFixtureBase
 {
     CPPUNIT_TEST_SUITE(ResetResponseFixture);
     CPPUNIT_TEST(unframedResponse_resetDuringUpload_isTruncated);
@@ -36,79 +33,52 @@
     auto setUp() -> void override
     {
         // Most of the upload is still to be sent when the response arrives.
-        this->rawServer = std::make_unique<RawServer>(this->context, 4096);
-        this->server = std::make_shared<fleet::Server>();
-        this->server->registration.id = "i-1";
-        this->server->registration.address = this->rawServer->address();
+        this->startServer(4096);
     }
 
     auto unframedResponse_resetDuringUpload_isTruncated() -> void
     {
-        for (const auto delay : Delays) {
-            this->rawServer->endingDelay = delay;
-            this->expectTruncated(Head + "\r\npart", Ending::Reset);
-        }
+        this->expectTruncated(Head + "\r\npart", Ending::Reset);
     }
 
     auto unframedResponse_resetBeforeItsBody_isTruncated() -> void
     {
-        for (const auto delay : Delays) {
-            this->rawServer->endingDelay = delay;
-            this->expectTruncated(Head + "\r\n", Ending::Reset);
-        }
+        this->expectTruncated(Head + "\r\n", Ending::Reset);
     }
 
     /** The failed write is the only operation that reports the reset. */
     auto unframedResponse_resetWhileReadingIsPaused_isTruncated() -> void
     {
-        for (const auto delay : Delays) {
-            this->rawServer->endingDelay = delay;
-            this->pauseFor = milliseconds(150);
-            this->expectTruncated(Head + "\r\npart", Ending::Reset);
-        }
+        this->pauseFor = milliseconds(150);
+        this->expectTruncated(Head + "\r\npart", Ending::Reset);
     }
 
     /** The operating system sends a reset, as the server has not read what it got. */
     auto unframedResponse_closedWithUnreadUpload_isTruncated() -> void
     {
-        for (const auto delay : Delays) {
-            this->rawServer->endingDelay = delay;
-            this->expectTruncated(Head + "\r\npart", Ending::CloseUnread);
-        }
+        this->expectTruncated(Head + "\r\npart", Ending::CloseUnread);
     }
 
     auto unframedResponse_finishedDuringUpload_isDelivered() -> void
     {
-        for (const auto delay : Delays) {
-            this->rawServer->endingDelay = delay;
-            this->expectDelivered(Head + "\r\nwhole", Ending::FinishSending);
-        }
+        this->expectDelivered(Head + "\r\nwhole", Ending::FinishSending);
     }
 
     auto unframedResponse_finishedBeforeReset_isDelivered() -> void
     {
-        for (const auto delay : Delays) {
-            this->rawServer->endingDelay = delay;
-            this->expectDelivered(Head + "\r\nwhole", Ending::FinishSendingAndReset);
-        }
+        this->expectDelivered(Head + "\r\nwhole", Ending::FinishSendingAndReset);
     }
 
     auto unframedResponse_finishedBeforeResetWhileReadingIsPaused_isDelivered() -> void
     {
-        for (const auto delay : Delays) {
-            this->rawServer->endingDelay = delay;
-            this->pauseFor = milliseconds(250);
-            this->expectDelivered(Head + "\r\nwhole", Ending::FinishSendingAndReset);
-        }
+        this->pauseFor = milliseconds(250);
+        this->expectDelivered(Head + "\r\nwhole", Ending::FinishSendingAndReset);
     }
 
     auto unframedResponse_resetAfterUpload_isTruncated() -> void
     {
         this->uploadBytes = 0;
-        for (const auto delay : Delays) {
-            this->rawServer->endingDelay = delay;
-            this->expectTruncated(Head + "\r\npart", Ending::Reset);
-        }
+        this->expectTruncated(Head + "\r\npart", Ending::Reset);
     }
 
     auto framedResponse_cutByReset_isTruncated() -> void
@@ -144,6 +114,7 @@
     }
 
 private:
+    /** Times between a response and the end of its connection. */
     static constexpr std::array Delays{milliseconds(0), milliseconds(1), milliseconds(20)};
     inline static const std::string Head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n";
 
@@ -161,7 +132,11 @@
             if (this->pauseFor > Duration(0)) {
                 exchange->pauseReading(true);
                 timer.expires_after(this->pauseFor);
-                timer.async_wait([&](const auto &) { exchange->pauseReading(false); });
+                timer.async_wait([&exchange](const auto &error) {
+                    if (!error) {
+                        exchange->pauseReading(false);
+                    }
+                });
             }
         };
         CPPUNIT_ASSERT(runUntil(this->context, [&] { return result.hasEnded(); }));
@@ -170,22 +145,24 @@
 
     auto expectTruncated(const std::string &bytes, Ending ending) -> void
     {
-        const auto result = this->upload(bytes, ending);
-        CPPUNIT_ASSERT_MESSAGE(bytes, !result.ended);
-        CPPUNIT_ASSERT_MESSAGE(bytes, result.failure == ExchangeFailure::Truncated);
+        for (const auto delay : Delays) {
+            this->rawServer->endingDelay = delay;
+            const auto result = this->upload(bytes, ending);
+            CPPUNIT_ASSERT_MESSAGE(bytes, !result.ended);
+            CPPUNIT_ASSERT_MESSAGE(bytes, result.failure == ExchangeFailure::Truncated);
+        }
     }
 
     auto expectDelivered(const std::string &bytes, Ending ending) -> void
     {
-        const auto result = this->upload(bytes, ending);
-        CPPUNIT_ASSERT_MESSAGE(bytes, result.ended && !result.failure);
-        CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, std::string("whole"), result.body);
+        for (const auto delay : Delays) {
+            this->rawServer->endingDelay = delay;
+            const auto result = this->upload(bytes, ending);
+            CPPUNIT_ASSERT_MESSAGE(bytes, result.ended && !result.failure);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, std::string("whole"), result.body);
+        }
     }
 
-    boost::asio::io_context context;
-    ServerConnectionPool pool{context};
-    std::unique_ptr<RawServer> rawServer;
-    fleet::ServerPtr server;
     std::size_t uploadBytes = 8U << 20U;
     Duration pauseFor{}; ///< Pause of reading at the first part of a body.
 };
--- a/tests/fleet/server_connection_pool_tests.cpp
+++ b/tests/fleet/server_connection_pool_tests.cpp
@@ -2,12 +2,7 @@
  * @file server_connection_pool_tests.cpp Tests of the connection pool with a raw server over
  * loopback.
  */
-#include "banyanring/gateway/server_connection_pool.h"
-
-#include "banyanring/gateway/http_client.h"
-#include "raw_server.h"
-
-#include <cppunit/extensions/HelperMacros.h>
+#include "raw_response_fixture.h"
 
 namespace {
 
@@ -21,7 +16,7 @@
 namespace asio = boost::asio;
 
 /** A connection pool and one server. */
-class ServerConnectionPoolFixture : public CppUnit::TestFixture
+class ServerConnectionPoolFixture : public test::RawResponseFixtureBase
 {
     CPPUNIT_TEST_SUITE(ServerConnectionPoolFixture);
     CPPUNIT_TEST(response_complete_connectionIsReused);
@@ -50,24 +45,6 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    auto setUp() -> void override
-    {
-        this->rawServer = std::make_unique<RawServer>(this->context);
-        this->server = std::make_shared<fleet::Server>();
-        this->server->registration.id = "i-1";
-        this->server->registration.address = this->rawServer->address();
-    }
-
-    /** Sends one request and waits for the end of the exchange. */
-    auto exchange(const std::string &attemptId) -> ExchangeRecorder
-    {
-        ExchangeRecorder result;
-        auto exchange = this->pool.send(this->server, attemptId,
-                                        {"GET / HTTP/1.1\r\n\r\n", nullptr}, false, result);
-        CPPUNIT_ASSERT(runUntil(this->context, [&] { return result.hasEnded(); }));
-        return result;
-    }
-
     static auto responseBytes(const std::string &attemptId, const std::string &body) -> std::string
     {
         return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attemptId
@@ -324,12 +301,6 @@
             std::string(Loopback) + ":" + std::to_string(freePort());
         CPPUNIT_ASSERT(this->exchange("1").failure == ExchangeFailure::NotSent);
     }
-
-private:
-    asio::io_context context;
-    ServerConnectionPool pool{context};
-    std::unique_ptr<RawServer> rawServer;
-    fleet::ServerPtr server;
 };
 
 } // namespace
--- a/tests/process/broken_response_tests.py
+++ b/tests/process/broken_response_tests.py
@@ -50,8 +50,8 @@
         """Returns status, body, whether the body was complete, and the fields of the response."""
         self.server.answers[path] = response
         self.count += 1
-        connection = http.client.HTTPConnection(platform.HOST, timeout=2 * DEADLINE_S)
-        connection.host, connection.port = "127.0.0.1", self.fleet.nodes[0].ports["front"]
+        connection = http.client.HTTPConnection("127.0.0.1", self.fleet.nodes[0].ports["front"],
+                                                timeout=2 * DEADLINE_S)
         try:
             connection.request("POST", path, body, {
                 "Host": platform.HOST, "X-Attempt-Id": f"raw-{self.count}",
--- a/tests/process/raw_server.py
+++ b/tests/process/raw_server.py
@@ -13,9 +13,9 @@
     """Answers a request with the bytes for its path, and then ends the connection: `keep` leaves it open,
     `finish` sends no more and reads on, `reset` resets it. `{id}` in the bytes stands for the attempt's id."""
 
-    def __init__(self, address=None, backlog=128):
+    def __init__(self, address=None):
         host, port = (address or "127.0.0.1:0").split(":")
-        self.listener = socket.create_server((host, int(port)), backlog=backlog)
+        self.listener = socket.create_server((host, int(port)))
         self.port = self.listener.getsockname()[1]
         self.answers, self.default = {}, (b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", "finish")
         self.requests = 0  # Those with a path in `answers`.
