A stream whose last event was delivered is ended by a server that has nothing left to send

Callers saw: with all events of a stream delivered, its server fell silent (or was lost) before the end, and the connection was broken off, although the next server ended its continuation properly. Callers that resumed behind the last event themselves got 502.

Cause: at the end of a response, 'no event so far' stood both for a continuation that was cut and for one that has nothing left, as the place that judges it did not know how the message was framed. The sound server was counted as crashed and failed, and the attempts were used up.

Change: responses say whether they end with their connection. A continuation without events whose length or last chunk arrived is complete, unless a server had begun another event before. It is no sample, no success, no failure and refutes no crash. Without framing it stays a failure, as a crash looks the same. A stream from its beginning without any event is still a failure ('empty_stream'), but no lost run.

--- a/include/banyanring/gateway/active_request.h
+++ b/include/banyanring/gateway/active_request.h
@@ -177,7 +177,12 @@
     auto retryWait() const -> Duration;
     auto isStream() const -> bool;
     auto forwardEvents(std::string_view data) -> void;
+    /** Sends the header of a stream to the caller, unless it was sent before. */
+    auto startStream(Instant now) -> void;
     auto updateBackpressure() -> void;
+    auto onStreamEnd() -> void;
+    /** Ends the caller's stream as complete. */
+    auto finishStream() -> void;
     auto deliverResponse() -> void;
     auto reject(int status, RequestOutcome outcome, Duration retryAfter) -> void;
     auto failMaybeExecuted(int status, RequestOutcome outcome) -> void;
--- a/include/banyanring/gateway/event_stream_parser.h
+++ b/include/banyanring/gateway/event_stream_parser.h
@@ -35,12 +35,7 @@
     auto feed(std::string_view data) -> Parsed;
 
     /** Prepares for the stream of another server: drops an incomplete event of the last one. */
-    auto reset() -> void
-    {
-        this->resumed = this->resumed || this->count > 0;
-        this->incompleteEvent.clear();
-        this->count = 0;
-    }
+    auto reset() -> void;
 
     /** @return Whether another server can continue the stream: each event returned has an id. */
     auto canResume() const -> bool
@@ -54,6 +49,15 @@
         return this->count;
     }
 
+    /**
+     * @return Whether a stream that ends here without any event since the last reset can be
+     * complete: there is an event that it continues, and no server has begun a later one.
+     */
+    auto mayEndWithoutEvents() const -> bool
+    {
+        return this->lastId && !this->nextEventBegun;
+    }
+
     /** @return Whether the data so far ends at an event boundary. */
     auto atEventBoundary() const -> bool
     {
@@ -75,6 +79,7 @@
     std::uint64_t count = 0;
     bool resumed = false; ///< Events were returned before the last reset.
     bool unnumbered = false; ///< An event without an id was returned.
+    bool nextEventBegun = false; ///< A reset dropped an event that no server has repeated since.
     std::optional<std::uint64_t> lastId;
 };
 
--- a/include/banyanring/gateway/outbound_connection.h
+++ b/include/banyanring/gateway/outbound_connection.h
@@ -81,6 +81,12 @@
         return this->closed;
     }
 
+    /** @return Whether the current response has neither a length nor chunks. */
+    auto responseEndsWithConnection() const -> bool
+    {
+        return this->parser && this->parser->need_eof();
+    }
+
     /** @param paused Whether to stop reading, while the consumer of the data is slow. */
     auto pauseReading(bool paused) -> void;
 
--- a/include/banyanring/gateway/request_type.h
+++ b/include/banyanring/gateway/request_type.h
@@ -69,6 +69,8 @@
     std::optional<Duration> retryAfter;
     bool leaving = false; ///< The server is about to stop and wants no new requests.
     std::uint64_t declaredLength = 0; ///< Length of the body; 0 if the header does not say.
+    /** It has neither a length nor chunks: its end looks the same as a crash of the server. */
+    bool endsWithConnection = false;
     std::vector<HeaderField> headers; ///< Headers to forward to the caller.
 
     /** @return Whether the status is one from 200 to 299. */
--- a/src/gateway/active_request_response.cpp
+++ b/src/gateway/active_request_response.cpp
@@ -98,12 +98,7 @@
         } else if (this->hasAnswered(now)) {
             this->recordAnswer(*this->answerBeganAt);
         }
-        if (!this->streamStarted) {
-            this->streamStarted = true;
-            this->firstByteAt = now;
-            this->caller->beginStream(this->response.status, this->response.reason,
-                                      this->response.headers);
-        }
+        this->startStream(now);
         this->caller->sendStreamData(parsed.events);
         this->updateBackpressure();
     }
@@ -112,6 +107,15 @@
     }
 }
 
+auto ActiveRequest::startStream(Instant now) -> void
+{
+    if (!std::exchange(this->streamStarted, true)) {
+        this->firstByteAt = now;
+        this->caller->beginStream(this->response.status, this->response.reason,
+                                  this->response.headers);
+    }
+}
+
 auto ActiveRequest::updateBackpressure() -> void
 {
     const bool pause =
@@ -127,23 +131,45 @@
     if (this->response.notExecuted) {
         this->handleServerRejection();
     } else if (this->isStream()) {
-        if (!this->eventParser.atEventBoundary() || this->eventParser.eventCount() == 0) {
-            this->handleServerFailure("cut_event");
-        } else {
-            this->recordResponseStats();
-            this->endExchange(fleet::AttemptOutcome::Succeeded);
-            this->caller->endStream();
-            this->recordAnswer(this->answerBeganAt.value_or(this->sentAt));
-            this->scheduler.state.crashSuspects.recordAnswer(this->fingerprint,
-                                                             this->scheduler.clock());
-            this->finish(RequestOutcome::Answered, this->response.status);
-        }
+        this->onStreamEnd();
     } else {
         this->deliverResponse();
     }
     this->scheduler.placeDirtyServices();
 }
 
+auto ActiveRequest::onStreamEnd() -> void
+{
+    if (!this->eventParser.atEventBoundary()) {
+        this->handleServerFailure("cut_event");
+    } else if (this->eventParser.eventCount() > 0) {
+        this->recordResponseStats();
+        this->endExchange(fleet::AttemptOutcome::Succeeded);
+        this->recordAnswer(this->answerBeganAt.value_or(this->sentAt));
+        this->scheduler.state.crashSuspects.recordAnswer(this->fingerprint,
+                                                         this->scheduler.clock());
+        this->finishStream();
+    } else if (this->response.endsWithConnection) {
+        this->handleServerFailure("cut_event"); // A crash before the first event looks the same.
+    } else if (this->eventParser.mayEndWithoutEvents()) {
+        // The server had nothing left to do: its times are not typical, and it has not shown that
+        // it survives the request.
+        this->addStep("nothing_left", this->server->registration.id);
+        this->scheduler.metrics.countEvent("resumed_at_end");
+        this->endExchange(fleet::AttemptOutcome::Neutral);
+        this->startStream(this->scheduler.clock());
+        this->finishStream();
+    } else {
+        this->handleServerFailure("empty_stream");
+    }
+}
+
+auto ActiveRequest::finishStream() -> void
+{
+    this->caller->endStream();
+    this->finish(RequestOutcome::Answered, this->response.status);
+}
+
 auto ActiveRequest::deliverResponse() -> void
 {
     const bool success = this->response.isSuccess();
--- a/src/gateway/event_stream_parser.cpp
+++ b/src/gateway/event_stream_parser.cpp
@@ -73,6 +73,7 @@
             this->unnumbered = true;
         }
         ++this->count;
+        this->nextEventBegun = false;
         parsed.events.append(event);
     }
     this->incompleteEvent.erase(0, begin);
@@ -80,6 +81,14 @@
     return parsed;
 }
 
+auto EventStreamParser::reset() -> void
+{
+    this->resumed = this->resumed || this->count > 0;
+    this->nextEventBegun = this->nextEventBegun || !isComment(this->incompleteEvent);
+    this->incompleteEvent.clear();
+    this->count = 0;
+}
+
 auto EventStreamParser::breaksSequence(std::optional<std::uint64_t> id) const -> bool
 {
     if (this->resumed && this->count == 0) {
--- a/src/gateway/server_connection_pool.cpp
+++ b/src/gateway/server_connection_pool.cpp
@@ -229,7 +229,8 @@
     if (const auto idleTimeout = parseIdleTimeout(header)) {
         this->connection->idleTimeout = idleTimeout;
     }
-    const auto response = platform::decodeResponse(header);
+    auto response = platform::decodeResponse(header);
+    response.endsWithConnection = this->connection->responseEndsWithConnection();
     this->hasId = !response.attemptId.empty();
     this->otherAttempt = this->hasId && response.attemptId != this->attemptId;
     if (containsStatusLine(header)) {
--- a/tests/fleet/raw_server.h
+++ b/tests/fleet/raw_server.h
@@ -216,6 +216,7 @@
     {
         this->status = response.status;
         this->notExecuted = response.notExecuted;
+        this->endsWithConnection = response.endsWithConnection;
     }
     auto onResponseData(std::string_view data) -> void override
     {
@@ -239,6 +240,7 @@
 
     int status = 0;
     bool notExecuted = false;
+    bool endsWithConnection = false;
     std::string body;
     bool ended = false;
     std::optional<gateway::ExchangeFailure> failure;
--- a/tests/process/broken_response_tests.py
+++ b/tests/process/broken_response_tests.py
@@ -46,15 +46,16 @@
         self.server.stop()
         self.fleet.__exit__(*failure)
 
-    def send(self, path, response, body=b""):
+    def send(self, path, response, body=b"", last_event_id=None):
         """Returns status, body, whether the body was complete, and the fields of the response."""
         self.server.responses[path] = response
         self.count += 1
         connection = http.client.HTTPConnection("127.0.0.1", self.fleet.nodes[0].ports["front"],
                                                 timeout=2 * DEADLINE_S)
         try:
+            resumption = {"Last-Event-Id": str(last_event_id)} if last_event_id else {}
             connection.request("POST", path, body, {
-                "Host": platform.HOST, "X-Attempt-Id": f"raw-{self.count}",
+                "Host": platform.HOST, "X-Attempt-Id": f"raw-{self.count}", **resumption,
                 "X-Deadline-Remaining": str(DEADLINE_S * 1000), "Authorization": "Bearer key-1"})
             response = connection.getresponse()
             try:
@@ -125,6 +126,36 @@
             assert not complete or status in (502, 503), (name, status, received)
 
 
+def test_finished():
+    """Streams whose server is lost after the last event: complete if the next server has nothing left to send."""
+    stream = SEAL + b"Content-Type: text/event-stream\r\n"
+    chunked = stream + b"Transfer-Encoding: chunked\r\n"
+    chunk = b"%x\r\n%s\r\n" % (len(EVENTS), EVENTS)
+    broken = {"reset": (make_response(fields=chunked, body=chunk, length=False), "reset"),
+              "no last chunk": (make_response(fields=chunked, body=chunk, length=False), "finish")}
+    ended = {"chunks": (make_response(fields=chunked, body=b"0\r\n\r\n", length=False), "keep"),
+             "length": (make_response(fields=stream, body=b""), "keep")}
+    cut = {"reset": (make_response(fields=chunked, body=b"", length=False), "reset"),
+           "no last chunk": (make_response(fields=chunked, body=b"", length=False), "finish"),
+           "no framing": (make_response(fields=stream, body=b"", length=False), "finish")}
+    with RawService() as service:
+        for first_name, first in broken.items():
+            for name, response in {**ended, **cut}.items():
+                service.server.resumed["/events/1"] = response
+                status, _, complete, _ = service.send("/events/1", first)
+                assert (status, complete) == (200, name in ended), (first_name, name, status, complete)
+                for _ in range(10):  # Fills the budget of retries.
+                    service.expect_delivered("between", "/raw/1", VALID)
+        for name, response in ended.items():
+            service.server.resumed["/events/1"] = response
+            received = service.send("/events/1", VALID, last_event_id=2)
+            assert received[:3] == (200, b"", True), (name, received)
+        for name, response in cut.items():
+            service.server.resumed["/events/1"] = response
+            status, _, complete, _ = service.send("/events/1", VALID, last_event_id=2)
+            assert status != 200 or not complete, (name, status)
+
+
 def test_uploads(seed=1):
     """Servers respond to a long upload at once, and reset or end the connection at a random time."""
     delays = random.Random(int(seed))
--- a/tests/process/raw_server.py
+++ b/tests/process/raw_server.py
@@ -18,6 +18,7 @@
         self.listener = socket.create_server((host, int(port)))
         self.port = self.listener.getsockname()[1]
         self.responses, self.default = {}, (b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", "finish")
+        self.resumed = {}  # Responses to requests with Last-Event-Id, if others than to those without.
         self.requests = 0  # Those with a path in `responses`.
         self.reset_delay_s = 0
         threading.Thread(target=self.accept, daemon=True).start()
@@ -51,6 +52,8 @@
         known = next((p for p in self.responses if path.startswith(p)), None)
         self.requests += known is not None
         response, ending = self.responses.get(known, self.default)
+        if field_value(head, b"Last-Event-Id"):
+            response, ending = self.resumed.get(known, (response, ending))
         connection.sendall(response.replace(b"{id}", field_value(head, b"X-Attempt-Id")))
         if ending == "reset":
             time.sleep(self.reset_delay_s)
