A prompt part that was answered does not block requests without the part that explains its crashes

Callers saw: a part of a prompt crashed three servers, and from then on every request of the route got 503, as all its prompts begin with the same system prompt, answered hundreds of times before.

Cause: a crash counts against all parts of the request that was lost, but the verdict was given for each part alone. The system prompt reached three crashes with the harmful part, and once it was blocked nothing was left that could clear it until a trial 30 s later.

Change: a suspect that was answered shortly before its first crash blocks a request only if its crashes are not explained by other suspects that were running at the same servers and that the request leaves out. The answer to such a request clears it on all nodes; if its server crashes, that crash has no other explanation. From five crashes on, only suspects with several of them explain anything, as changing companions do not tell what all crashes have in common. Suspects without an answer are blocked after three crashes as before. Reports keep the answer before the crashes, so that each node comes to the same verdict, in whichever order they arrive. A blocked suspect that others explain is tried after 2 s, then more rarely.

Tests: the simulated gossip moves to a base class, isTrialDue and recordTrial take all suspects of a request; no check of the former tests is changed.

--- a/include/banyanring/fleet/crash_suspects.h
+++ b/include/banyanring/fleet/crash_suspects.h
@@ -3,7 +3,9 @@
 
 #include "banyanring/fleet/peer_state_type.h"
 
+#include <boost/container/static_vector.hpp>
 #include <limits>
+#include <span>
 #include <unordered_map>
 
 namespace banyanring::fleet {
@@ -13,6 +15,11 @@
  * that were running at several crashes. A suspect is identified by a hash, of a whole request or of
  * a part of a prompt.
  *
+ * A crash counts against everything that its server was running. So a suspect that was answered
+ * before does not block the requests that leave out the other suspects which explain its crashes:
+ * if it is sound, the answers to these requests refute its crashes, and if it has become harmful,
+ * their crashes have no other explanation.
+ *
  * All nodes' records are merged by gossip. An answer refutes the crashes before it, whichever
  * arrives first, so a part that is in constant use is cleared faster than crashes add up.
  */
@@ -44,28 +51,42 @@
     auto mergePeerReports(const std::vector<CrashSuspectReport> &reports, Instant now) -> void;
 
     /**
-     * Checks whether requests with a suspect must be rejected.
-     * @param suspect Hash of the suspect.
+     * Finds the suspects because of which a request must be rejected.
+     * @param request Hashes of the request and of the parts of its prompt.
      * @param now Current time.
-     * @return Whether enough servers crashed while they ran it.
+     * @return Those of them that probably crash servers; empty if the request may run.
      */
-    auto isBlocked(std::uint64_t suspect, Instant now) const -> bool;
+    auto blockedSuspects(std::span<const std::uint64_t> request, Instant now) const
+        -> std::vector<std::uint64_t>;
 
     /**
-     * Checks whether one request with a blocked suspect may run, to find out whether it is still
-     * blocked rightly. Only one node of the fleet may make use of it.
+     * Checks whether requests with nothing but one suspect must be rejected.
      * @param suspect Hash of the suspect.
      * @param now Current time.
-     * @return Whether the last crash and the last trial are long enough ago.
+     * @return Whether they must be rejected.
      */
-    auto isTrialDue(std::uint64_t suspect, Instant now) const -> bool;
+    auto isBlocked(std::uint64_t suspect, Instant now) const -> bool
+    {
+        return !this->blockedSuspects({&suspect, 1}, now).empty();
+    }
 
     /**
-     * Records that a request with a blocked suspect is run.
-     * @param suspect Hash of the suspect.
+     * Checks whether one blocked request may run, to find out whether it is still blocked rightly.
+     * Only one node of the fleet may make use of it.
+     * @param blocked Its blocked suspects.
+     * @param request Hashes of the request and of the parts of its prompt.
+     * @param now Current time.
+     * @return Whether the last crash and the last trial of each are long enough ago.
+     */
+    auto isTrialDue(std::span<const std::uint64_t> blocked, std::span<const std::uint64_t> request,
+                    Instant now) const -> bool;
+
+    /**
+     * Records that a request with blocked suspects is run.
+     * @param blocked Hashes of these suspects.
      * @param now Current time.
      */
-    auto recordTrial(std::uint64_t suspect, Instant now) -> void;
+    auto recordTrial(std::span<const std::uint64_t> blocked, Instant now) -> void;
 
     /**
      * Lists suspects for gossip, the most important ones first and at most as many as one message
@@ -102,16 +123,21 @@
     static constexpr Duration NewsLifetime = std::chrono::seconds(1);
     static constexpr Instant LongAgo{std::numeric_limits<Instant::rep>::min() / 2};
 
-    /** Crash of one start of a server. */
+    /** Crash of one start of a server, or of several servers that may have one cause. */
     struct Crash
     {
         std::uint32_t serverHash = 0;
         Instant startedAt{}; ///< The cause of the crash began after this time.
         Instant crashedAt{};
+        /** Other servers whose crashes were not counted, as they may share the cause. */
+        boost::container::static_vector<std::uint32_t, 4> otherServers;
 
         /** @return Whether both may have one cause that is not the suspect, such as a power loss.
          */
         auto mayShareCause(const Crash &other) const -> bool;
+
+        /** @return Whether the server is one of those that crashed. */
+        auto includes(std::uint32_t server) const -> bool;
     };
 
     /** Records of one suspect. */
@@ -123,10 +149,20 @@
         Instant changedAt = LongAgo; ///< Last change that peers have to know.
         Instant trialAt = LongAgo;
         std::size_t maxCrashes = 0; ///< Most crashes that this node or a peer has counted.
+
+        /** @return Whether it was answered shortly before the first of its crashes. */
+        auto wasAnsweredBefore() const -> bool;
+
+        /** @return Whether it was running at the server of another suspect's crash. */
+        auto sharesCrash(const Crash &crash) const -> bool;
     };
 
     auto addCrash(Suspect &suspect, const Crash &crash, bool isReportable, Instant now) -> void;
     auto refute(Suspect &suspect, Instant answeredAt) -> bool;
+    auto isExplainedByOthers(const Suspect &suspect, std::span<const std::uint64_t> request,
+                             std::size_t minCrashes) const -> bool;
+    auto isProbableCause(const Suspect &suspect, std::span<const std::uint64_t> request) const
+        -> bool;
     auto entry(std::uint64_t hash) -> Suspect &;
     static auto expiryTime(const Suspect &suspect) -> Instant;
     static auto crashRetention(std::size_t crashes) -> Duration;
--- a/include/banyanring/gateway/active_request.h
+++ b/include/banyanring/gateway/active_request.h
@@ -8,6 +8,7 @@
 #include "banyanring/gateway/scheduler.h"
 
 #include <set>
+#include <span>
 
 namespace banyanring::gateway {
 
@@ -191,7 +192,17 @@
     auto writeLog(RequestOutcome outcome, int status) -> void;
     auto computeSuspects() -> void;
     auto isCrashSuspect() const -> bool;
-    auto blockedSuspect() const -> std::string;
+    auto blockedSuspects() const -> std::vector<std::uint64_t>;
+    /** @return Names of suspects for logs. */
+    auto suspectNames(std::span<const std::uint64_t> hashes) const -> std::string;
+    auto fingerprint() const -> std::uint64_t
+    {
+        return this->suspects.back();
+    }
+    auto promptPartSuspects() const -> std::span<const std::uint64_t>
+    {
+        return std::span(this->suspects).first(this->suspects.size() - 1);
+    }
     auto tryStartTrial() -> bool;
     auto rejectCrashSuspect() -> bool;
     auto recordLostRun(const fleet::Server &lost, Instant runSince, bool answering,
@@ -228,8 +239,8 @@
     const fleet::OrganisationConfig *organisation = nullptr;
     std::string service;
     fleet::RequestProfile profile;
-    std::uint64_t fingerprint = 0; ///< Hash of the whole request, a possible crash suspect.
-    std::vector<std::uint64_t> partSuspects; ///< Hashes of its prompt parts, the same.
+    /** Possible crash suspects: hashes of its prompt parts and, last, of the whole request. */
+    std::vector<std::uint64_t> suspects;
     bool onTrial = false; ///< A crash suspect that is run to find out whether it still is one.
     double chargedUnits = 0; ///< Charged to the organisation's quota.
     Instant deadline{}; ///< Deadline of the final response.
--- a/src/fleet/crash_suspects.cpp
+++ b/src/fleet/crash_suspects.cpp
@@ -14,19 +14,46 @@
 constexpr Duration AnswerRetention = std::chrono::seconds(20);
 constexpr Duration TrialInterval = std::chrono::seconds(30); ///< Doubles with each further crash.
 constexpr std::size_t MaxTrialDoublings = 4;
+/** The same for a suspect whose crashes other suspects explain, which the request leaves out. */
+constexpr Duration ExplainedTrialInterval = std::chrono::seconds(2);
 constexpr std::size_t MinRepeatedCrashes = 2; ///< Suspects with fewer are reported once only.
 constexpr std::size_t MaxCrashes = 8; ///< Crashes stored for a suspect; later ones add nothing.
+/** From so many crashes on, other suspects explain them only if they were at several ones, too. */
+constexpr std::size_t ManyCrashes = 5;
 /** Servers that fail for a common cause do so within this time of each other. */
 constexpr Duration MaxSimultaneity = std::chrono::milliseconds(250);
+/** All nodes notice the crash of a server within this time of each other. */
+constexpr Duration MaxDetectionTime = std::chrono::seconds(1);
 
 } // namespace
 
 auto CrashSuspects::Crash::mayShareCause(const Crash &other) const -> bool
 {
-    return this->serverHash == other.serverHash
+    return this->includes(other.serverHash)
            || (this->startedAt < other.crashedAt && other.startedAt < this->crashedAt);
 }
 
+auto CrashSuspects::Crash::includes(std::uint32_t server) const -> bool
+{
+    return this->serverHash == server
+           || std::find(this->otherServers.begin(), this->otherServers.end(), server)
+                  != this->otherServers.end();
+}
+
+auto CrashSuspects::Suspect::wasAnsweredBefore() const -> bool
+{
+    return !this->crashes.empty()
+           && this->crashes.front().crashedAt - this->answeredAt < AnswerRetention;
+}
+
+auto CrashSuspects::Suspect::sharesCrash(const Crash &crash) const -> bool
+{
+    return std::any_of(this->crashes.begin(), this->crashes.end(), [&](const Crash &own) {
+        return own.includes(crash.serverHash)
+               && std::chrono::abs(own.crashedAt - crash.crashedAt) <= MaxDetectionTime;
+    });
+}
+
 auto CrashSuspects::crashRetention(std::size_t crashes) -> Duration
 {
     return crashes >= BlockingCrashes ? BlockRetention : CrashRetention;
@@ -62,9 +89,16 @@
     -> void
 {
     const bool isFull = suspect.crashes.size() >= MaxCrashes;
-    if ((isFull && crash.crashedAt <= suspect.crashes.front().crashedAt)
-        || std::any_of(suspect.crashes.begin(), suspect.crashes.end(),
-                       [&](const Crash &known) { return known.mayShareCause(crash); })) {
+    if (isFull && crash.crashedAt <= suspect.crashes.front().crashedAt) {
+        return;
+    }
+    const auto known = std::find_if(suspect.crashes.begin(), suspect.crashes.end(),
+                                    [&](const Crash &other) { return other.mayShareCause(crash); });
+    if (known != suspect.crashes.end()) {
+        auto &others = known->otherServers;
+        if (!known->includes(crash.serverHash) && others.size() < others.capacity()) {
+            others.push_back(crash.serverHash);
+        }
         return;
     }
     const bool isRefuted = crash.crashedAt <= suspect.answeredAt;
@@ -133,30 +167,80 @@
     }
 }
 
-auto CrashSuspects::isBlocked(std::uint64_t suspect, Instant now) const -> bool
+auto CrashSuspects::blockedSuspects(std::span<const std::uint64_t> request, Instant now) const
+    -> std::vector<std::uint64_t>
 {
-    const auto found = this->suspects.find(suspect);
-    return found != this->suspects.end() && found->second.crashes.size() >= BlockingCrashes
-           && now - found->second.crashes.back().crashedAt < BlockRetention;
+    std::vector<std::uint64_t> blocked;
+    for (const auto hash : request) {
+        const auto found = this->suspects.find(hash);
+        if (found != this->suspects.end() && found->second.crashes.size() >= BlockingCrashes
+            && now - found->second.crashes.back().crashedAt < BlockRetention
+            && this->isProbableCause(found->second, request)) {
+            blocked.push_back(hash);
+        }
+    }
+    return blocked;
+}
+
+auto CrashSuspects::isProbableCause(const Suspect &suspect,
+                                    std::span<const std::uint64_t> request) const -> bool
+{
+    // One that was answered is probably sound. But it may have become harmful, and then it is the
+    // only one that its crashes have in common.
+    const bool hasMany = suspect.crashes.size() >= ManyCrashes;
+    return !suspect.wasAnsweredBefore()
+           || !this->isExplainedByOthers(suspect, request, hasMany ? MinRepeatedCrashes : 1);
 }
 
-auto CrashSuspects::isTrialDue(std::uint64_t suspect, Instant now) const -> bool
+auto CrashSuspects::isExplainedByOthers(const Suspect &suspect,
+                                        std::span<const std::uint64_t> request,
+                                        std::size_t minCrashes) const -> bool
 {
-    const auto found = this->suspects.find(suspect);
-    if (found == this->suspects.end() || found->second.crashes.empty()) {
-        return false;
+    boost::container::static_vector<Crash, MaxCrashes> unexplained(suspect.crashes.begin(),
+                                                                   suspect.crashes.end());
+    const bool wasAnswered = suspect.wasAnsweredBefore();
+    for (const auto &[hash, other] : this->suspects) {
+        if (unexplained.empty()) {
+            break;
+        }
+        if (other.crashes.size() < minCrashes || (other.wasAnsweredBefore() && !wasAnswered)
+            || std::find(request.begin(), request.end(), hash) != request.end()) {
+            continue;
+        }
+        const auto explained =
+            std::remove_if(unexplained.begin(), unexplained.end(),
+                           [&](const Crash &crash) { return other.sharesCrash(crash); });
+        unexplained.erase(explained, unexplained.end());
     }
-    const auto &blocked = found->second;
-    const auto further = blocked.crashes.size() - std::min(blocked.crashes.size(), BlockingCrashes);
-    const auto interval = TrialInterval * (1U << std::min(further, MaxTrialDoublings));
-    return now - std::max(blocked.crashes.back().crashedAt, blocked.trialAt) >= interval;
+    return unexplained.empty();
+}
+
+auto CrashSuspects::isTrialDue(std::span<const std::uint64_t> blocked,
+                               std::span<const std::uint64_t> request, Instant now) const -> bool
+{
+    return std::all_of(blocked.begin(), blocked.end(), [&](std::uint64_t hash) {
+        const auto found = this->suspects.find(hash);
+        if (found == this->suspects.end() || found->second.crashes.empty()) {
+            return false;
+        }
+        const auto &suspect = found->second;
+        const auto expected = suspect.wasAnsweredBefore() ? ManyCrashes : BlockingCrashes;
+        const auto further = suspect.crashes.size() - std::min(suspect.crashes.size(), expected);
+        const auto interval = this->isExplainedByOthers(suspect, request, MinRepeatedCrashes)
+                                  ? ExplainedTrialInterval
+                                  : TrialInterval;
+        return now - std::max(suspect.crashes.back().crashedAt, suspect.trialAt)
+               >= interval * (1U << std::min(further, MaxTrialDoublings));
+    });
 }
 
-auto CrashSuspects::recordTrial(std::uint64_t suspect, Instant now) -> void
+auto CrashSuspects::recordTrial(std::span<const std::uint64_t> blocked, Instant now) -> void
 {
-    const auto found = this->suspects.find(suspect);
-    if (found != this->suspects.end()) {
-        found->second.trialAt = now;
+    for (const auto hash : blocked) {
+        const auto found = this->suspects.find(hash);
+        if (found != this->suspects.end()) {
+            found->second.trialAt = now;
+        }
     }
 }
 
@@ -178,7 +262,8 @@
         const auto hash = std::get<2>(ranked[index]);
         const auto &suspect = this->suspects.at(hash);
         CrashSuspectReport report{hash, std::nullopt, {}};
-        if (now - suspect.answeredAt < AnswerRetention) {
+        // Peers that learn of the crashes have to know that it was answered before them.
+        if (now - suspect.answeredAt < AnswerRetention || suspect.wasAnsweredBefore()) {
             report.answerAge = now - suspect.answeredAt;
         }
         for (const auto &crash : suspect.crashes) {
--- a/src/gateway/active_request_response.cpp
+++ b/src/gateway/active_request_response.cpp
@@ -146,7 +146,7 @@
         this->recordResponseStats();
         this->endExchange(fleet::AttemptOutcome::Succeeded);
         this->recordAnswer(this->answerBeganAt.value_or(this->sentAt));
-        this->scheduler.state.crashSuspects.recordAnswer(this->fingerprint,
+        this->scheduler.state.crashSuspects.recordAnswer(this->fingerprint(),
                                                          this->scheduler.clock());
         this->finishStream();
     } else if (this->response.endsWithConnection) {
@@ -195,7 +195,7 @@
     this->endExchange(serverError ? fleet::AttemptOutcome::Failed
                       : failed    ? fleet::AttemptOutcome::Neutral
                                   : fleet::AttemptOutcome::Succeeded);
-    this->scheduler.state.crashSuspects.recordAnswer(this->fingerprint, this->scheduler.clock());
+    this->scheduler.state.crashSuspects.recordAnswer(this->fingerprint(), this->scheduler.clock());
     if (success) {
         this->recordAnswer(this->responseAt);
     }
--- a/src/gateway/active_request_suspects.cpp
+++ b/src/gateway/active_request_suspects.cpp
@@ -28,51 +28,54 @@
 
 auto ActiveRequest::computeSuspects() -> void
 {
-    boost::hash_combine(this->fingerprint, this->request.target);
-    boost::hash_combine(this->fingerprint,
-                        this->request.body ? *this->request.body : std::string());
-    boost::hash_combine(this->fingerprint, this->organisation ? this->organisation->name : "");
     for (const auto part : this->request.sharedPromptParts) {
-        this->partSuspects.push_back(mix64(part ^ PromptPartSalt));
+        this->suspects.push_back(mix64(part ^ PromptPartSalt));
     }
+    std::uint64_t fingerprint = 0;
+    boost::hash_combine(fingerprint, this->request.target);
+    boost::hash_combine(fingerprint, this->request.body ? *this->request.body : std::string());
+    boost::hash_combine(fingerprint, this->organisation ? this->organisation->name : "");
+    this->suspects.push_back(fingerprint);
 }
 
 auto ActiveRequest::isCrashSuspect() const -> bool
 {
-    return !this->onTrial && !this->blockedSuspect().empty();
+    return !this->onTrial && !this->blockedSuspects().empty();
 }
 
-auto ActiveRequest::blockedSuspect() const -> std::string
+auto ActiveRequest::blockedSuspects() const -> std::vector<std::uint64_t>
 {
-    const auto &suspects = this->scheduler.state.crashSuspects;
-    const auto now = this->scheduler.clock();
-    for (std::size_t index = 0; index < this->partSuspects.size(); ++index) {
-        if (suspects.isBlocked(this->partSuspects[index], now)) {
-            return "prompt part " + formatHex(this->request.sharedPromptParts[index]);
+    return this->scheduler.state.crashSuspects.blockedSuspects(this->suspects,
+                                                               this->scheduler.clock());
+}
+
+auto ActiveRequest::suspectNames(std::span<const std::uint64_t> hashes) const -> std::string
+{
+    const auto &parts = this->request.sharedPromptParts;
+    std::string names;
+    for (std::size_t index = 0; index < this->suspects.size(); ++index) {
+        if (std::find(hashes.begin(), hashes.end(), this->suspects[index]) != hashes.end()) {
+            names += names.empty() ? "" : ", ";
+            names += index < parts.size() ? "prompt part " + formatHex(parts[index])
+                                          : "the whole request";
         }
     }
-    return suspects.isBlocked(this->fingerprint, now) ? "the whole request" : "";
+    return names;
 }
 
 auto ActiveRequest::tryStartTrial() -> bool
 {
     auto &state = this->scheduler.state;
     const auto now = this->scheduler.clock();
-    auto blocked = this->partSuspects;
-    blocked.push_back(this->fingerprint);
-    std::erase_if(blocked, [&](std::uint64_t suspect) {
-        return !state.crashSuspects.isBlocked(suspect, now);
-    });
-    const bool isDue = std::all_of(blocked.begin(), blocked.end(), [&](std::uint64_t suspect) {
-        return state.crashSuspects.isTrialDue(suspect, now)
-               && state.members.isCoordinator(static_cast<std::uint32_t>(suspect), now);
-    });
-    if (!isDue) {
+    const auto blocked = this->blockedSuspects();
+    const bool isCoordinator =
+        std::all_of(blocked.begin(), blocked.end(), [&](std::uint64_t suspect) {
+            return state.members.isCoordinator(static_cast<std::uint32_t>(suspect), now);
+        });
+    if (!isCoordinator || !state.crashSuspects.isTrialDue(blocked, this->suspects, now)) {
         return false;
     }
-    for (const auto suspect : blocked) {
-        state.crashSuspects.recordTrial(suspect, now);
-    }
+    state.crashSuspects.recordTrial(blocked, now);
     this->onTrial = true;
     this->addStep("crash_suspect_trial");
     return true;
@@ -83,7 +86,7 @@
     if (!this->isCrashSuspect() || (this->dispatches == 0 && this->tryStartTrial())) {
         return false;
     }
-    this->addStep("blocked", this->blockedSuspect());
+    this->addStep("blocked", this->suspectNames(this->blockedSuspects()));
     if (this->mayHaveExecuted) {
         this->failMaybeExecuted(502, RequestOutcome::CrashSuspect);
     } else {
@@ -98,9 +101,9 @@
     auto &suspects = this->scheduler.state.crashSuspects;
     const auto now = this->scheduler.clock();
     const bool wasSuspect = this->isCrashSuspect();
-    suspects.recordCrash(this->fingerprint, lost.hash, runSince, now);
+    suspects.recordCrash(this->fingerprint(), lost.hash, runSince, now);
     if (!answering) {
-        for (const auto part : this->partSuspects) {
+        for (const auto part : this->promptPartSuspects()) {
             suspects.recordCrash(part, lost.hash, runSince, now);
         }
     }
@@ -116,7 +119,7 @@
     if (!wasSuspect && this->isCrashSuspect()) {
         logEvent("crash_suspect", {{"request_id", this->request.attemptId},
                                    {"server", lost.registration.id},
-                                   {"blocked", this->blockedSuspect()}});
+                                   {"blocked", this->suspectNames(this->blockedSuspects())}});
     }
 }
 
@@ -130,7 +133,7 @@
     if (std::exchange(this->answerRecorded, true)) {
         return;
     }
-    for (const auto part : this->partSuspects) {
+    for (const auto part : this->promptPartSuspects()) {
         this->scheduler.state.crashSuspects.recordAnswer(part, answeredAt);
     }
 }
--- a/tests/fleet/crash_suspect_fleet_tests.cpp
+++ b/tests/fleet/crash_suspect_fleet_tests.cpp
@@ -1,12 +1,9 @@
 /**
  * @file crash_suspect_fleet_tests.cpp Simulated fleets that get requests which crash servers.
  */
-#include "banyanring/fleet/crash_suspects.h"
-#include "banyanring/gateway/gossip_codec.h"
+#include "crash_suspect_fleet_fixture.h"
 
-#include <cppunit/extensions/HelperMacros.h>
 #include <deque>
-#include <random>
 #include <utility>
 
 namespace {
@@ -17,7 +14,7 @@
 using std::chrono::seconds;
 
 /** A prompt part that crashes servers, in a simulated fleet with lossy gossip and restarts. */
-class CrashingPromptPartFleetFixture : public CppUnit::TestFixture
+class CrashingPromptPartFleetFixture : public test::CrashSuspectFleetFixtureBase
 {
     CPPUNIT_TEST_SUITE(CrashingPromptPartFleetFixture);
     CPPUNIT_TEST(promptPart_crashesServersOf87Nodes_isBlockedInTime);
@@ -80,18 +77,9 @@
 private:
     static constexpr std::uint64_t SoundPart = 1;
     static constexpr std::uint64_t CrashingPart = 2;
-    static constexpr Duration Step = milliseconds(50);
-    static constexpr Duration StableWindow = seconds(4); ///< Of the largest bench deployments.
-    static constexpr Duration RunTime = milliseconds(300); ///< Until the first event or the crash.
-    static constexpr int MaxLateRequests = 3; ///< Target: requests that may still run.
-    static constexpr int LossPercent = 10;
     static constexpr int OtherRuns = 10; ///< Sound requests that run at a server when it crashes.
     static constexpr std::size_t MaxBytesPerSecond = 5000; ///< Target: control traffic of a node.
     static constexpr std::size_t MinFleetForTarget = 80; ///< Smaller ones have bytes to spare.
-    static constexpr int StepsPerSecond = 20;
-    static constexpr std::size_t FanOut = 10;
-    static constexpr int RoundSteps = 4;
-    static constexpr int RoundsPerFullMessage = 5;
 
     /** A run in progress. */
     struct FleetRun
@@ -102,17 +90,9 @@
 
     auto start(std::size_t nodeCount, std::uint64_t seed) -> void
     {
-        this->nodes = std::vector<CrashSuspects>(nodeCount);
-        this->random.seed(seed);
-        this->now = seconds(100);
+        this->startNodes(nodeCount, seed);
         this->soundRuns.clear();
         this->rejected = 0;
-        this->sentBytes = 0;
-    }
-
-    auto anyNode() -> std::size_t
-    {
-        return this->random() % this->nodes.size();
     }
 
     auto loseRun(std::uint64_t part, std::uint32_t server) -> void
@@ -138,34 +118,6 @@
         }
     }
 
-    auto exchangeGossip(int step) -> void
-    {
-        this->now += Step;
-        for (std::size_t node = 0; node < this->nodes.size(); ++node) {
-            const auto phase = step + static_cast<int>(node);
-            const bool isFull = phase % (RoundSteps * RoundsPerFullMessage) == 0;
-            if (phase % RoundSteps != 0 || !(isFull || this->nodes[node].hasNews(this->now))) {
-                continue;
-            }
-            const auto reports = this->nodes[node].reports(this->now);
-            this->sentBytes += FanOut * encodedBytes(reports);
-            for (std::size_t target = 0; target < FanOut; ++target) {
-                if (this->random() % 100 >= LossPercent) {
-                    this->nodes[this->anyNode()].mergePeerReports(reports, this->now);
-                }
-            }
-        }
-    }
-
-    /** @return Bytes that reports add to a gossip message. */
-    static auto encodedBytes(const std::vector<fleet::CrashSuspectReport> &reports) -> std::size_t
-    {
-        fleet::GossipMessage message;
-        const auto emptyBytes = gateway::encodeGossip(message).size();
-        message.crashSuspects = reports;
-        return gateway::encodeGossip(message).size() - emptyBytes;
-    }
-
     /** Checks the bytes that all nodes have sent within the last second. */
     auto checkSentBytes(const std::string &seedText) -> void
     {
@@ -225,14 +177,10 @@
                                this->rejected * 100 < soundRequests * this->maxRejectedPercent);
     }
 
-    std::vector<CrashSuspects> nodes;
-    std::mt19937_64 random;
-    Instant now{};
     std::deque<FleetRun> soundRuns;
     int rejected = 0; ///< Sound requests that were blocked.
     std::uint32_t nextServer = 1;
     std::uint64_t nextOtherPart = 1000;
-    std::size_t sentBytes = 0; ///< Reports that all nodes have sent since the last check.
     int soundCount = 2; ///< Sound requests in each step that has some.
     int soundInterval = 1; ///< Steps from one of these steps to the next.
     int maxRejectedPercent = 1; ///< Sound requests that may be blocked.
--- a/tests/fleet/crash_suspect_tests.cpp
+++ b/tests/fleet/crash_suspect_tests.cpp
@@ -1,6 +1,8 @@
 /** @file crash_suspect_tests.cpp Tests of the detection of requests that crash servers. */
 #include "scheduler_fixture.h"
 
+#include <array>
+
 namespace {
 
 using namespace banyanring;
@@ -135,13 +137,13 @@
     auto trial_afterBlock_isDueOnceAnInterval() -> void
     {
         this->block(1, seconds(3));
-        CPPUNIT_ASSERT(!this->suspects.isTrialDue(1, seconds(4)));
-        CPPUNIT_ASSERT(this->suspects.isTrialDue(1, seconds(34)));
-        this->suspects.recordTrial(1, seconds(34));
-        CPPUNIT_ASSERT(!this->suspects.isTrialDue(1, seconds(35)));
+        CPPUNIT_ASSERT(!this->isTrialDue(seconds(4)));
+        CPPUNIT_ASSERT(this->isTrialDue(seconds(34)));
+        this->suspects.recordTrial(Only, seconds(34));
+        CPPUNIT_ASSERT(!this->isTrialDue(seconds(35)));
         this->crash(1, 20, seconds(36));
-        CPPUNIT_ASSERT(!this->suspects.isTrialDue(1, seconds(67)));
-        CPPUNIT_ASSERT(this->suspects.isTrialDue(1, seconds(97)));
+        CPPUNIT_ASSERT(!this->isTrialDue(seconds(67)));
+        CPPUNIT_ASSERT(this->isTrialDue(seconds(97)));
     }
 
 private:
@@ -159,6 +161,12 @@
         }
     }
 
+    auto isTrialDue(Instant now) const -> bool
+    {
+        return this->suspects.isTrialDue(Only, Only, now);
+    }
+
+    static constexpr std::array<std::uint64_t, 1> Only{1}; ///< Suspect of a request with one only.
     CrashSuspects suspects;
 };
 
