A blocked request with two suspects is tried by one node, not only by one that coordinates both

Callers saw: requests whose prompt has two blocked parts stay rejected for up to ten minutes, also if the cause has gone, unless one node happens to coordinate both parts.

Cause: a trial asked that this node be the coordinator of every blocked suspect. With two suspects that is one node in as many cases as there are nodes.

Change: the suspect with the lowest hash decides which node may try.

Evidence: blockedPrompt_suspectsOfTwoCoordinators_isTriedByOneOfThem fails on the former code (no prompt of two suspects with different coordinators is ever tried) and passes now.

--- a/src/gateway/active_request_suspects.cpp
+++ b/src/gateway/active_request_suspects.cpp
@@ -68,11 +68,10 @@
     auto &state = this->scheduler.state;
     const auto now = this->scheduler.clock();
     const auto blocked = this->blockedSuspects();
-    const bool isCoordinator =
-        std::all_of(blocked.begin(), blocked.end(), [&](std::uint64_t suspect) {
-            return state.members.isCoordinator(static_cast<std::uint32_t>(suspect), now);
-        });
-    if (!isCoordinator || !state.crashSuspects.isTrialDue(blocked, this->suspects, now)) {
+    // One node must not wait for the trial of another one, so a single suspect decides which it is.
+    const auto leading = *std::min_element(blocked.begin(), blocked.end());
+    if (!state.crashSuspects.isTrialDue(blocked, this->suspects, now)
+        || !state.members.isCoordinator(static_cast<std::uint32_t>(leading), now)) {
         return false;
     }
     state.crashSuspects.recordTrial(blocked, now);
--- a/tests/fleet/crash_explanation_tests.cpp
+++ b/tests/fleet/crash_explanation_tests.cpp
@@ -241,6 +241,7 @@
     CPPUNIT_TEST(systemPrompt_turnsHarmful_isRejectedAfterFiveCrashes);
     CPPUNIT_TEST(request_crashesThreeServers_leavesItsPromptServed);
     CPPUNIT_TEST(blockedPrompt_withTwoSuspects_getsOneTrial);
+    CPPUNIT_TEST(blockedPrompt_suspectsOfTwoCoordinators_isTriedByOneOfThem);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -303,11 +304,39 @@
         CPPUNIT_ASSERT(!this->isServed({Topic, Crashing}));
     }
 
+    auto blockedPrompt_suspectsOfTwoCoordinators_isTriedByOneOfThem() -> void
+    {
+        int triedHere = 0;
+        int triedThere = 0;
+        for (std::uint64_t part = 100; part < 140; part += 2) {
+            if (this->isTriedHere({part}) != this->isTriedHere({part + 1})) {
+                ++(this->isTriedHere({part, part + 1}) ? triedHere : triedThere);
+            }
+        }
+        CPPUNIT_ASSERT(triedHere > 0);
+        CPPUNIT_ASSERT(triedThere > 0);
+    }
+
 private:
     static constexpr std::uint64_t System = 1;
     static constexpr std::uint64_t Crashing = 2;
     static constexpr std::uint64_t Topic = 3;
 
+    /** @return Whether this one of two nodes tries a prompt that was blocked 31 s ago. */
+    auto isTriedHere(const std::vector<std::uint64_t> &parts) -> bool
+    {
+        this->restart();
+        this->crash(parts, 3);
+        this->now += seconds(31);
+        fleet::NodeStatus peer;
+        peer.peerAddress = "127.0.0.2:1";
+        peer.incarnation = 1;
+        peer.sequence = 1;
+        peer.phase = fleet::NodePhase::Ready;
+        this->state->members.mergeStatus(peer, this->now);
+        return this->isServed(parts);
+    }
+
     auto restart() -> void
     {
         this->scheduler.reset();
