The time of an answer to a crash suspect no longer moves on with each gossip message

Callers would see: a harmful prompt part that was answered just before its crashes is unblocked early, and costs further servers. A review had seen the time move on by 15 to 20 ms a second.

Cause: reports state the age of an answer, and the time in transit is not part of it. Each node took the later of two times, so that two nodes pushed each other's on with every message, past crashes after the answer, which it then refuted.

Change: a reported answer counts as a new one only if it is later than the known one by more than a message takes (100 ms).

Evidence: mergePeerReports_inTransitForSomeTime_keepTheTimeOfTheAnswer (two nodes, 30 ms in transit, 56 s) fails without the change and passes with it, as do all fixtures of crash suspects.

--- a/src/fleet/crash_suspects.cpp
+++ b/src/fleet/crash_suspects.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t ManyCrashes = 5;
 /** Servers that fail for a common cause do so within this time of each other. */
 constexpr Duration MaxSimultaneity = std::chrono::milliseconds(250);
+constexpr Duration MaxTransitTime = std::chrono::milliseconds(100); ///< Of a gossip message.
 /** All nodes notice the crash of a server within this time of each other. */
 constexpr Duration MaxDetectionTime = std::chrono::seconds(1);
 
@@ -149,7 +150,9 @@
 {
     for (const auto &report : reports) {
         auto &suspect = this->entry(report.suspect);
-        if (report.answerAge && this->refute(suspect, now - *report.answerAge)) {
+        const auto answeredAt = report.answerAge ? now - *report.answerAge : LongAgo;
+        // An age says nothing of the time in transit: the same answer seems to be later here.
+        if (answeredAt > suspect.answeredAt + MaxTransitTime && this->refute(suspect, answeredAt)) {
             suspect.changedAt = now;
             this->lastChangeAt = now;
         }
--- a/tests/fleet/crash_suspect_tests.cpp
+++ b/tests/fleet/crash_suspect_tests.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(mergePeerReports_crashesBeforeAnswer_areNotCounted);
     CPPUNIT_TEST(mergePeerReports_answerAtPeer_unblocks);
     CPPUNIT_TEST(mergePeerReports_betweenTwoNodes_crashesExpire);
+    CPPUNIT_TEST(mergePeerReports_inTransitForSomeTime_keepTheTimeOfTheAnswer);
     CPPUNIT_TEST(reports_moreThanOneMessage_blockedComesFirst);
     CPPUNIT_TEST(table_full_keepsBlockedAndAddsNew);
     CPPUNIT_TEST(trial_afterBlock_isDueOnceAnInterval);
@@ -111,6 +112,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, peer.size() + this->suspects.size());
     }
 
+    /** Guards against an answer that gets younger with each message, and refutes later crashes. */
+    auto mergePeerReports_inTransitForSomeTime_keepTheTimeOfTheAnswer() -> void
+    {
+        CrashSuspects peer;
+        this->suspects.recordAnswer(1, seconds(1));
+        this->block(1, seconds(4));
+        for (Instant now = seconds(4); now < seconds(60); now += milliseconds(200)) {
+            const auto arrival = now + milliseconds(30);
+            peer.mergePeerReports(this->suspects.reports(now), arrival);
+            this->suspects.mergePeerReports(peer.reports(arrival), arrival + milliseconds(30));
+        }
+        for (const auto &node : {this->suspects, peer}) {
+            const auto report = node.reports(seconds(60)).at(0);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{3}, report.crashes.size());
+            CPPUNIT_ASSERT(report.answerAge > seconds(59) - milliseconds(100));
+        }
+    }
+
     auto reports_moreThanOneMessage_blockedComesFirst() -> void
     {
         this->block(7, seconds(3));
