--- a/src/fleet/crash_suspects.cpp
+++ b/src/fleet/crash_suspects.cpp
@@ -152,7 +152,9 @@
         auto &suspect = this->entry(report.suspect);
         const auto answeredAt = report.answerAge ? now - *report.answerAge : LongAgo;
         // An age says nothing of the time in transit: the same answer seems to be later here.
-        if (answeredAt > suspect.answeredAt + MaxTransitTime && this->refute(suspect, answeredAt)) {
+        const bool isNews = now - answeredAt < NewsLifetime;
+        if (answeredAt > suspect.answeredAt + (isNews ? Duration(0) : MaxTransitTime)
+            && this->refute(suspect, answeredAt)) {
             suspect.changedAt = now;
             this->lastChangeAt = now;
         }
