Crashes at the same time explain each other, whichever of them a suspect has counted

Cause: of crashes that may share a cause a suspect counts one. An answer to the system prompt between two of them made it count another one than the harmful part; the servers that were not counted were remembered at one node and lost in gossip, so that the crash seemed to be unexplained.

Change: a crash is explained by one at the same server or at the same time, as it is for counting. The list of servers not counted is no longer needed.

--- a/include/banyanring/fleet/crash_suspects.h
+++ b/include/banyanring/fleet/crash_suspects.h
@@ -3,7 +3,6 @@
 
 #include "banyanring/fleet/peer_state_type.h"
 
-#include <boost/container/static_vector.hpp>
 #include <limits>
 #include <span>
 #include <unordered_map>
@@ -123,21 +122,16 @@
     static constexpr Duration NewsLifetime = std::chrono::seconds(1);
     static constexpr Instant LongAgo{std::numeric_limits<Instant::rep>::min() / 2};
 
-    /** Crash of one start of a server, or of several servers that may have one cause. */
+    /** Crash of one start of a server. */
     struct Crash
     {
         std::uint32_t serverHash = 0;
         Instant startedAt{}; ///< The cause of the crash began after this time.
         Instant crashedAt{};
-        /** Other servers whose crashes were not counted, as they may share the cause. */
-        boost::container::static_vector<std::uint32_t, 4> otherServers;
 
         /** @return Whether both may have one cause that is not the suspect, such as a power loss.
          */
         auto mayShareCause(const Crash &other) const -> bool;
-
-        /** @return Whether the server is one of those that crashed. */
-        auto includes(std::uint32_t server) const -> bool;
     };
 
     /** Records of one suspect. */
@@ -153,7 +147,8 @@
         /** @return Whether it was answered shortly before the first of its crashes. */
         auto wasAnsweredBefore() const -> bool;
 
-        /** @return Whether it was running at the server of another suspect's crash. */
+        /** @return Whether one of its crashes is, or may share its cause with, that of another one.
+         */
         auto sharesCrash(const Crash &crash) const -> bool;
     };
 
--- a/src/fleet/crash_suspects.cpp
+++ b/src/fleet/crash_suspects.cpp
@@ -2,6 +2,7 @@
 #include "banyanring/fleet/crash_suspects.h"
 
 #include <algorithm>
+#include <boost/container/static_vector.hpp>
 
 namespace banyanring::fleet {
 
@@ -30,17 +31,10 @@
 
 auto CrashSuspects::Crash::mayShareCause(const Crash &other) const -> bool
 {
-    return this->includes(other.serverHash)
+    return this->serverHash == other.serverHash
            || (this->startedAt < other.crashedAt && other.startedAt < this->crashedAt);
 }
 
-auto CrashSuspects::Crash::includes(std::uint32_t server) const -> bool
-{
-    return this->serverHash == server
-           || std::find(this->otherServers.begin(), this->otherServers.end(), server)
-                  != this->otherServers.end();
-}
-
 auto CrashSuspects::Suspect::wasAnsweredBefore() const -> bool
 {
     return !this->crashes.empty()
@@ -49,8 +43,9 @@
 
 auto CrashSuspects::Suspect::sharesCrash(const Crash &crash) const -> bool
 {
+    // Of crashes that may share their cause, this suspect may have counted another one.
     return std::any_of(this->crashes.begin(), this->crashes.end(), [&](const Crash &own) {
-        return own.includes(crash.serverHash)
+        return own.mayShareCause(crash)
                && std::chrono::abs(own.crashedAt - crash.crashedAt) <= MaxDetectionTime;
     });
 }
@@ -90,16 +85,9 @@
     -> void
 {
     const bool isFull = suspect.crashes.size() >= MaxCrashes;
-    if (isFull && crash.crashedAt <= suspect.crashes.front().crashedAt) {
-        return;
-    }
-    const auto known = std::find_if(suspect.crashes.begin(), suspect.crashes.end(),
-                                    [&](const Crash &other) { return other.mayShareCause(crash); });
-    if (known != suspect.crashes.end()) {
-        auto &others = known->otherServers;
-        if (!known->includes(crash.serverHash) && others.size() < others.capacity()) {
-            others.push_back(crash.serverHash);
-        }
+    if ((isFull && crash.crashedAt <= suspect.crashes.front().crashedAt)
+        || std::any_of(suspect.crashes.begin(), suspect.crashes.end(),
+                       [&](const Crash &known) { return known.mayShareCause(crash); })) {
         return;
     }
     const bool isRefuted = crash.crashedAt <= suspect.answeredAt;
