A blocked suspect that may be sound is tried once after two seconds

Cause: one interval of trials for all suspects. The explained ones had a shorter one, those that were answered shortly before their crashes had not.

Change: for both, the first trial is due after 2 s. If it costs another server, the long intervals apply, so that at most one server more is lost within a minute.

--- a/src/fleet/crash_suspects.cpp
+++ b/src/fleet/crash_suspects.cpp
@@ -15,8 +15,7 @@
 constexpr Duration AnswerRetention = std::chrono::seconds(20);
 constexpr Duration TrialInterval = std::chrono::seconds(30); ///< Doubles with each further crash.
 constexpr std::size_t MaxTrialDoublings = 4;
-/** The same for a suspect whose crashes other suspects explain, which the request leaves out. */
-constexpr Duration ExplainedTrialInterval = std::chrono::seconds(2);
+constexpr Duration SoonTrialInterval = std::chrono::seconds(2); ///< Of suspects that may be sound.
 constexpr std::size_t MinRepeatedCrashes = 2; ///< Suspects with fewer are reported once only.
 constexpr std::size_t MaxCrashes = 8; ///< Crashes stored for a suspect; later ones add nothing.
 /** From so many crashes on, other suspects explain them only if they were at several ones, too. */
@@ -217,13 +216,16 @@
             return false;
         }
         const auto &suspect = found->second;
-        const auto expected = suspect.wasAnsweredBefore() ? ManyCrashes : BlockingCrashes;
+        const bool wasAnswered = suspect.wasAnsweredBefore();
+        const auto expected = wasAnswered ? ManyCrashes : BlockingCrashes;
         const auto further = suspect.crashes.size() - std::min(suspect.crashes.size(), expected);
-        const auto interval = this->isExplainedByOthers(suspect, request, MinRepeatedCrashes)
-                                  ? ExplainedTrialInterval
-                                  : TrialInterval;
-        return now - std::max(suspect.crashes.back().crashedAt, suspect.trialAt)
-               >= interval * (1U << std::min(further, MaxTrialDoublings));
+        const bool maySoon =
+            further == 0
+            && (wasAnswered || this->isExplainedByOthers(suspect, request, MinRepeatedCrashes));
+        const auto interval = maySoon
+                                  ? SoonTrialInterval
+                                  : TrialInterval * (1U << std::min(further, MaxTrialDoublings));
+        return now - std::max(suspect.crashes.back().crashedAt, suspect.trialAt) >= interval;
     });
 }
 
--- a/tests/fleet/crash_explanation_tests.cpp
+++ b/tests/fleet/crash_explanation_tests.cpp
@@ -26,7 +26,8 @@
     CPPUNIT_TEST(reports_inAnyOrder_leadToTheSameVerdict);
     CPPUNIT_TEST(reports_answerLongAgo_isKeptWithTheCrashes);
     CPPUNIT_TEST(reports_ofOnePartOnly_blockUntilTheOtherArrives);
-    CPPUNIT_TEST(trial_ofExplainedSuspect_isDueSoon);
+    CPPUNIT_TEST(trial_ofSuspectThatMayBeSound_isDueSoonOnce);
+    CPPUNIT_TEST(trial_ofSuspectsWithoutAnotherExplanation_isNotDueSoon);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -185,19 +186,33 @@
         CPPUNIT_ASSERT(this->isBlocked({Crashing}));
     }
 
-    auto trial_ofExplainedSuspect_isDueSoon() -> void
+    auto trial_ofSuspectThatMayBeSound_isDueSoonOnce() -> void
     {
-        this->crashTogether({Sound, Crashing}, 3);
         const std::vector<std::uint64_t> sound{Sound};
+        for (const bool wasAnswered : {true, false}) {
+            this->suspects = {};
+            if (wasAnswered) {
+                this->suspects.recordAnswer(Sound, this->now);
+                this->crashTogether({Sound}, 5);
+            } else {
+                this->crashTogether({Sound, Crashing}, 3);
+            }
+            this->now += seconds(3);
+            CPPUNIT_ASSERT(this->suspects.isTrialDue(sound, sound, this->now));
+            this->suspects.recordTrial(sound, this->now);
+            CPPUNIT_ASSERT(!this->suspects.isTrialDue(sound, sound, this->now + seconds(1)));
+            this->crashTogether({Sound}, 1);
+            CPPUNIT_ASSERT(!this->suspects.isTrialDue(sound, sound, this->now + seconds(59)));
+            CPPUNIT_ASSERT(this->suspects.isTrialDue(sound, sound, this->now + seconds(60)));
+        }
+    }
+
+    auto trial_ofSuspectsWithoutAnotherExplanation_isNotDueSoon() -> void
+    {
         const std::vector<std::uint64_t> both{Sound, Crashing};
-        this->now += seconds(3);
-        CPPUNIT_ASSERT(this->suspects.isTrialDue(sound, sound, this->now));
-        CPPUNIT_ASSERT(!this->suspects.isTrialDue(both, both, this->now));
-        this->suspects.recordTrial(sound, this->now);
-        CPPUNIT_ASSERT(!this->suspects.isTrialDue(sound, sound, this->now + seconds(1)));
-        this->crashTogether({Sound}, 1);
-        this->now += seconds(20);
-        CPPUNIT_ASSERT(!this->suspects.isTrialDue(sound, sound, this->now));
+        this->crashTogether({Sound, Crashing}, 3);
+        CPPUNIT_ASSERT(!this->suspects.isTrialDue(both, both, this->now + seconds(29)));
+        CPPUNIT_ASSERT(this->suspects.isTrialDue(both, both, this->now + seconds(30)));
     }
 
 private:
