Process test: long uploads on /v1 whose server or ticket owner resets them

A look at what was not reached so far: a server answers a long upload at once with a response without length, sends a part and resets the connection while the upload is still being written. On the platform path that is tested; on /v1 and for the owner of a ticket it was not.

--- a/tests/process/broken_response_tests.py
+++ b/tests/process/broken_response_tests.py
@@ -2,6 +2,7 @@
 Usage: broken_response_tests.py NAME [SEED], which runs test_NAME."""
 
 import http.client
+import itertools
 import json
 import random
 import subprocess
@@ -16,7 +17,9 @@
 DEADLINE_S = 4
 PROMPT_S = 2  # Target: a broken response does not keep its caller waiting for the deadline.
 UPLOAD_BYTES = 8 << 20  # More than the operating system takes before the server reads.
+V1_UPLOAD_BYTES = 6 << 20
 UPLOADS = 30
+V1_UPLOADS = 10
 LOG_INTERVAL_S = 1.1  # The log takes a number of lines a second.
 READER_CASES = ("status 000 before a valid response", "status 600", "blank in a name", "blank before the colon",
                 "name begins with a blank", "no colon", *VALID_RESPONSES)
@@ -211,6 +214,51 @@
                 assert time.monotonic() - started < PROMPT_S, f"{name}: the caller waited"
 
 
+def reset_uploads(servers, path, delays, send):
+    """Calls `send` while servers respond to uploads at once and reset the connection at a random time."""
+    for number in range(V1_UPLOADS):
+        part = delays.choice((b"", b"part", b"part" * 20000))
+        for server in servers:
+            server.reset_delay_s = delays.choice((0, 0.001, 0.05)) * delays.random()
+            server.responses[path] = make_response(body=part, length=False), "reset"
+        yield f"{path}, upload {number}, part of {len(part)} bytes", send()
+
+
+def test_v1_uploads(seed=1):
+    """Long uploads on /v1, to a backend server and to the owner of a ticket, which reset them: never complete."""
+    delays = random.Random(int(seed))
+    numbers = itertools.count()  # The same request would become a crash suspect.
+    settings = {"ticket_ms": 60000, "lapse_ms": 4000, "body_kb": V1_UPLOAD_BYTES // 512}
+    unstarted = v1.Fleet(nodes=2, engines=1, plains=1, slots=64, settings=settings)
+    for organisation in unstarted.config["organisations"]:
+        organisation.update(rate=UPLOADS * V1_UPLOAD_BYTES, burst=UPLOADS * V1_UPLOAD_BYTES)
+    with unstarted as fleet:
+        fleet.wait_ready()
+        entry, owner = fleet.nodes[1][0], fleet.nodes[2][0]
+        caller = v1.Caller(fleet, "red")
+        tickets = [caller.ticket("/order", owner) for _ in range(V1_UPLOADS)]
+        servers = replace_backends(fleet)
+
+        def make_upload():
+            return {"number": next(numbers), "text": "x" * V1_UPLOAD_BYTES}
+
+        def send(path):
+            fleet.wait_until("the servers are used", lambda: fleet.state(1)["ready"] and not any(
+                s["suspected"] for s in fleet.state(1)["servers"].values()))
+            return caller.send(path, make_upload(), caller.ticket(path, entry) if path == "/order" else None, entry)
+
+        for path in ("/order", "/draft"):
+            for name, response in reset_uploads(servers, path, delays, lambda: send(path)):
+                expect_v1(name, response, False)
+            assert sum(server.requests for server in servers) >= V1_UPLOADS, f"{path}: the uploads were not sent"
+        fleet.kill("node-2")
+        peer = RawServer(owner)
+        for name, response in reset_uploads([peer], "/order", delays, lambda: caller.send(
+                "/order", make_upload(), tickets.pop(), entry)):
+            expect_v1(f"peer, {name}", response, False)
+        assert peer.requests >= V1_UPLOADS, "the peer did not get the uploads"
+
+
 def test_peer():
     """A peer that is asked on behalf of a caller."""
     with v1.Fleet(nodes=2, settings={"lapse_ms": 4000, "ticket_ms": 60000}) as fleet:
