Ends of streams: one branch for each outcome; the search for explanations without a captured binding

The linter found two branches with the same body, and a structured binding that a lambda captures, which its compiler does not accept. The decisions are the same.

--- a/src/fleet/crash_suspects.cpp
+++ b/src/fleet/crash_suspects.cpp
@@ -191,12 +191,13 @@
     boost::container::static_vector<Crash, MaxCrashes> unexplained(suspect.crashes.begin(),
                                                                    suspect.crashes.end());
     const bool wasAnswered = suspect.wasAnsweredBefore();
-    for (const auto &[hash, other] : this->suspects) {
+    for (const auto &entry : this->suspects) {
         if (unexplained.empty()) {
             break;
         }
+        const auto &other = entry.second;
         if (other.crashes.size() < minCrashes || (other.wasAnsweredBefore() && !wasAnswered)
-            || std::find(request.begin(), request.end(), hash) != request.end()) {
+            || std::find(request.begin(), request.end(), entry.first) != request.end()) {
             continue;
         }
         const auto explained =
--- a/src/gateway/active_request_response.cpp
+++ b/src/gateway/active_request_response.cpp
@@ -140,19 +140,19 @@
 
 auto ActiveRequest::onStreamEnd() -> void
 {
-    if (!this->eventParser.atEventBoundary()) {
+    const bool hasEvents = this->eventParser.eventCount() > 0;
+    // Without any framing, a crash before the first event looks the same as an end without events.
+    if (!this->eventParser.atEventBoundary() || (!hasEvents && this->response.endsWithConnection)) {
         this->handleServerFailure("cut_event");
-    } else if (this->eventParser.eventCount() > 0) {
+    } else if (hasEvents) {
         this->recordResponseStats();
         this->endExchange(fleet::AttemptOutcome::Succeeded);
         this->recordAnswer(this->answerBeganAt.value_or(this->sentAt));
         this->scheduler.state.crashSuspects.recordAnswer(this->fingerprint(),
                                                          this->scheduler.clock());
         this->finishStream();
-    } else if (this->response.endsWithConnection) {
-        this->handleServerFailure("cut_event"); // A crash before the first event looks the same.
     } else if (this->eventParser.mayEndWithoutEvents()) {
-        // The server had nothing left to do: its times are not typical, and it has not shown that
+        // The server had nothing left to send: its times are not typical, and it has not shown that
         // it survives the request.
         this->addStep("nothing_left", this->server->registration.id);
         this->scheduler.metrics.countEvent("resumed_at_end");
