The early trial of a blocked suspect comes once, and not after five crashes

Suspects of several requests may be tried by several nodes, so more could follow.

Change: the trial after 2 s is for suspects with fewer than five crashes that this node has not tried since the first of them; all others wait for 30 s and more, as before.

--- a/src/fleet/crash_suspects.cpp
+++ b/src/fleet/crash_suspects.cpp
@@ -220,12 +220,13 @@
         const bool wasAnswered = suspect.wasAnsweredBefore();
         const auto expected = wasAnswered ? ManyCrashes : BlockingCrashes;
         const auto further = suspect.crashes.size() - std::min(suspect.crashes.size(), expected);
-        const bool maySoon =
-            further == 0
+        // Once only, and not if it has cost many servers already.
+        const bool isSoon =
+            suspect.crashes.size() < ManyCrashes
+            && suspect.trialAt < suspect.crashes.front().crashedAt
             && (wasAnswered || this->isExplainedByOthers(suspect, request, MinRepeatedCrashes));
-        const auto interval = maySoon
-                                  ? SoonTrialInterval
-                                  : TrialInterval * (1U << std::min(further, MaxTrialDoublings));
+        const auto interval = isSoon ? SoonTrialInterval
+                                     : TrialInterval * (1U << std::min(further, MaxTrialDoublings));
         return now - std::max(suspect.crashes.back().crashedAt, suspect.trialAt) >= interval;
     });
 }
