--- a/src/gateway/active_request_suspects.cpp
+++ b/src/gateway/active_request_suspects.cpp
@@ -97,13 +97,13 @@
 auto ActiveRequest::recordLostRun(const fleet::Server &lost, Instant runSince, bool answering,
                                   std::string_view reason) -> void
 {
-    auto &suspects = this->scheduler.state.crashSuspects;
+    auto &crashSuspects = this->scheduler.state.crashSuspects;
     const auto now = this->scheduler.clock();
     const bool wasSuspect = this->isCrashSuspect();
-    suspects.recordCrash(this->fingerprint(), lost.hash, runSince, now);
+    crashSuspects.recordCrash(this->fingerprint(), lost.hash, runSince, now);
     if (!answering) {
         for (const auto part : this->promptPartSuspects()) {
-            suspects.recordCrash(part, lost.hash, runSince, now);
+            crashSuspects.recordCrash(part, lost.hash, runSince, now);
         }
     }
     std::vector<std::string> parts;
