--- a/review/standins3.py
+++ b/review/standins3.py
@@ -182,9 +182,11 @@
 class Server:
     """A sound server: runs `slots` requests at once, queues a few more and rejects others."""
 
-    def __init__(self, platform, name, service, zone, slots=11, work_s=0.15, tokens_per_s=0):
+    def __init__(self, platform, name, service, zone, slots=11, work_s=0.15, tokens_per_s=0,
+                 events=5):
         self.platform, self.name, self.service, self.zone = platform, name, service, zone
         self.slots, self.work_s, self.tokens_per_s = slots, work_s, tokens_per_s
+        self.events = events  # Of a stream.
         self.reading = asyncio.Lock()  # Prompts are read one after the other.
         self.born, self.sequence, self.active = int(time.time() * 1000), 0, 0
         self.free = asyncio.Semaphore(slots)
@@ -276,8 +278,8 @@
                     ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")],
                     length=False))
                 first_event = int(fields.get("last-event-id", "0")) + 1
-                for number in range(first_event, 6):
-                    await asyncio.sleep(self.work_s / 5)
+                for number in range(first_event, self.events + 1):
+                    await asyncio.sleep(self.work_s / self.events)
                     event = f"id: {number}\ndata: {attempt} {number}\n\n".encode()
                     writer.write(b"%x\r\n%s\r\n" % (len(event), event))
                     await writer.drain()
@@ -374,7 +376,7 @@
             writer.close()
     try:
         return await asyncio.wait_for(exchange(), timeout)
-    except asyncio.IncompleteReadError as error:
+    except (asyncio.IncompleteReadError, ValueError) as error:
         raise EOFError("answer cut off") from error
 
 
