--- a/review/standins3.py
+++ b/review/standins3.py
@@ -201,12 +201,14 @@
             self.beat = asyncio.ensure_future(self.renew())
 
     async def listen(self):
-        self.listener = await asyncio.start_server(self.serve, self.ip, 8080, backlog=256)
+        self.listener = await asyncio.start_server(self.serve, self.ip, self.platform.server_port,
+                                                   backlog=256)
         self.up = True
 
     def entry(self):
         self.sequence += 1
-        return {"service": self.service, "address": f"{self.ip}:8080", "zone": self.zone,
+        return {"service": self.service, "address": f"{self.ip}:{self.platform.server_port}",
+                "zone": self.zone,
                 "version": "v1", "slots": self.slots, "state": self.state,
                 "cold_left_ms": max(0, int((self.cold_until - now()) * 1000)), "phase": "both",
                 "models": [{"name": "m", "version": 1, "adapters": []}], "seq": self.sequence,
@@ -396,7 +398,7 @@
         if not (ROOT / self.command[0]).exists():
             raise FileNotFoundError(f"{self.command[0]}: run the build of the deploy file first")
         self.port = self.free_port()
-        self.store = Store(self.new_ip(), self.port + 50)
+        self.store, self.server_port = Store(self.new_ip(), self.port + 50), self.port + 51
         self.attempts = 0
 
     def free_port(self):
