--- a/review/14/case.py
+++ b/review/14/case.py
@@ -14,7 +14,7 @@
 MACHINES = [("a-1", 0), ("b-1", 1), ("c-1", 2), ("a-2", 0), ("b-2", 1), ("c-2", 2), ("d-1", 3)]
 RATE, BURST = 36000, 36000  # Tokens a second and tokens; the site's floor_per_s.
 USUAL = RATE / 1.8  # The site's quota_x.
-HOT_X, HOT_S = 7.5, 11  # The site's largest hot_tenant.
+HOT_X, HOT_S = 6.0, 11  # A hot_tenant of the site (day scale-2).
 TOKENS = (6610, 380)  # Prompt and output tokens of a rider-draft.
 CONFIG = {
     "version": 7,
